--- /dev/null
+++ b/src/accounts/fleetlimiter.cpp
@@ -0,0 +1,122 @@
+#include "accounts/fleetlimiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnummill::accounts {
+
+namespace {
+
+using framework::Instant;
+using framework::Microseconds;
+using framework::Milliseconds;
+
+/// A new host knows nothing of what was admitted before it: its bucket starts with this much of the rate.
+constexpr auto s_startingSeconds = 0.5;
+
+/// A bucket may owe this much of its rate for what other hosts admitted at the same time.
+constexpr auto s_largestDebtSeconds = 2.0;
+
+} // namespace
+
+auto FleetLimiter::setLimit(const std::string& account, double ratePerSecond, double burst, Instant now) -> void
+{
+    auto [found, isNew] = m_buckets.try_emplace(account);
+    auto& bucket = found->second;
+    if (isNew) {
+        bucket.tokens = std::min(burst, ratePerSecond * s_startingSeconds);
+        bucket.filledAt = now;
+    } else {
+        fill(bucket, now);
+    }
+    if (bucket.ratePerSecond == 0 && !isNew) {
+        bucket.tokens = std::min(burst, ratePerSecond * s_startingSeconds);
+    }
+    bucket.ratePerSecond = ratePerSecond;
+    bucket.burst = burst;
+    bucket.tokens = std::min(bucket.tokens, burst);
+}
+
+auto FleetLimiter::keepOnly(const std::map<std::string, bool>& accounts) -> void
+{
+    std::erase_if(m_buckets, [&accounts](const auto& entry) { return !accounts.contains(entry.first); });
+    std::erase_if(m_admitted, [&accounts](const auto& entry) { return !accounts.contains(entry.first); });
+}
+
+auto FleetLimiter::setHeardShare(double share, Instant now) -> void
+{
+    if (share == m_heardShare) {
+        return;
+    }
+    for (auto& [account, bucket] : m_buckets) {
+        fill(bucket, now);
+    }
+    m_heardShare = share;
+}
+
+auto FleetLimiter::admit(std::string_view account, Instant now) -> bool
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
+        return true;
+    }
+    auto& bucket = found->second;
+    fill(bucket, now);
+    if (bucket.tokens < 1) {
+        return false;
+    }
+    bucket.tokens -= 1;
+    ++m_admitted[found->first];
+    return true;
+}
+
+auto FleetLimiter::giveBack(std::string_view account, Instant now) -> void
+{
+    const auto found = m_buckets.find(account);
+    const auto admitted = m_admitted.find(account);
+    if (found == m_buckets.end() || admitted == m_admitted.end() || admitted->second == 0) {
+        return;
+    }
+    fill(found->second, now);
+    found->second.tokens += 1;
+    --admitted->second;
+}
+
+auto FleetLimiter::takeElsewhere(std::string_view account, std::int64_t requests, Instant now) -> void
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
+        return;
+    }
+    auto& bucket = found->second;
+    fill(bucket, now);
+    bucket.tokens = std::max(bucket.tokens - static_cast<double>(requests), -bucket.ratePerSecond * s_largestDebtSeconds);
+}
+
+auto FleetLimiter::timeToNext(std::string_view account, Instant now) -> Milliseconds
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
+        return Milliseconds(0);
+    }
+    auto& bucket = found->second;
+    fill(bucket, now);
+    if (bucket.tokens >= 1) {
+        return Milliseconds(0);
+    }
+    const auto rate = std::max(bucket.ratePerSecond * m_heardShare, 0.001);
+    return Milliseconds(static_cast<std::int64_t>(std::ceil((1 - bucket.tokens) / rate * 1'000)));
+}
+
+auto FleetLimiter::fill(Bucket& bucket, Instant now) const -> void
+{
+    if (now <= bucket.filledAt) {
+        return;
+    }
+    const auto seconds = std::chrono::duration<double>(now - bucket.filledAt).count();
+    bucket.filledAt = now;
+    const auto capacity = std::max(bucket.burst * m_heardShare, 1.0);
+    bucket.tokens = std::min(bucket.tokens + bucket.ratePerSecond * m_heardShare * seconds, std::max(capacity, 1.0));
+}
+
+} // namespace laburnummill::accounts
--- /dev/null
+++ b/src/accounts/fleetlimiter.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "framework/global/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace laburnummill::accounts {
+
+/// One count over all hosts: how many requests a host has admitted for each client account since it started.
+using AdmittedCounts = std::map<std::string, std::uint64_t, std::less<>>;
+
+/// Keeps client accounts within rate and burst over all hosts together.
+///
+/// Each host keeps a bucket for the whole fleet and takes from it what it admits itself and what the others say
+/// they admitted. The bucket fills by the share of known hosts that are heard, so that parts of the fleet that
+/// cannot hear each other never admit more than the whole limit together.
+class FleetLimiter
+{
+public:
+    /// Sets the limits of an account; a `rate` of 0 means no limit.
+    auto setLimit(const std::string& account, double ratePerSecond, double burst, framework::Instant now) -> void;
+
+    /// Forgets accounts that are not in the configuration any more.
+    auto keepOnly(const std::map<std::string, bool>& accounts) -> void;
+
+    /// Share of the known hosts that are heard, this one included; 0 to 1.
+    auto setHeardShare(double share, framework::Instant now) -> void;
+
+    /// Admits one request where the account's limit holds it.
+    auto admit(std::string_view account, framework::Instant now) -> bool;
+
+    /// A request that was admitted has surely not run.
+    auto giveBack(std::string_view account, framework::Instant now) -> void;
+
+    /// What another host has admitted since the last word from it.
+    auto takeElsewhere(std::string_view account, std::int64_t requests, framework::Instant now) -> void;
+
+    /// Time until one more request would be admitted; zero where it would be now.
+    auto timeToNext(std::string_view account, framework::Instant now) -> framework::Milliseconds;
+
+    /// What this host has admitted since it started.
+    auto admitted() const -> const AdmittedCounts& { return m_admitted; }
+
+private:
+    struct Bucket
+    {
+        double ratePerSecond = 0;
+        double burst = 0;
+        double tokens = 0;
+        framework::Instant filledAt{};
+    };
+
+    auto fill(Bucket& bucket, framework::Instant now) const -> void;
+
+    std::map<std::string, Bucket, std::less<>> m_buckets;
+    AdmittedCounts m_admitted;
+    double m_heardShare = 1;
+};
+
+} // namespace laburnummill::accounts
--- /dev/null
+++ b/src/backends/backendhealth.cpp
@@ -0,0 +1,49 @@
+#include "backends/backendhealth.h"
+
+#include <algorithm>
+
+namespace laburnummill::backends {
+
+namespace {
+
+using framework::Instant;
+using framework::Milliseconds;
+
+/// Weight of the newest request in the averages: about the last ten count.
+constexpr auto s_newestWeight = 0.1;
+
+/// First time that an unreachable server is left alone; doubles with each further failure.
+constexpr auto s_firstAvoidance = Milliseconds(250);
+
+/// Servers come back some seconds after a crash; longer avoidance would leave them idle.
+constexpr auto s_longestAvoidance = Milliseconds(2'000);
+
+/// Broken answers in a row that look like a crash rather than like bad luck.
+constexpr auto s_brokenInARow = 3;
+
+constexpr auto s_slownessRange = std::pair(0.2, 20.0);
+
+} // namespace
+
+auto BackendHealth::record(ServerOutcome outcome, double slowness, Instant now) -> void
+{
+    const auto isFailure = outcome != ServerOutcome::Answered && outcome != ServerOutcome::Refused;
+    m_failureShare += s_newestWeight * ((isFailure ? 1.0 : 0.0) - m_failureShare);
+    if (!isFailure) {
+        m_failuresInARow = 0;
+        if (outcome == ServerOutcome::Answered) {
+            m_avoidedUntil = {};
+        }
+        if (slowness > 0) {
+            m_slowness += s_newestWeight * (std::clamp(slowness, s_slownessRange.first, s_slownessRange.second) - m_slowness);
+        }
+        return;
+    }
+    ++m_failuresInARow;
+    if (outcome == ServerOutcome::Unreachable || m_failuresInARow >= s_brokenInARow) {
+        const auto doublings = std::min(m_failuresInARow - 1, 3);
+        m_avoidedUntil = now + std::min(s_firstAvoidance * (1 << doublings), s_longestAvoidance);
+    }
+}
+
+} // namespace laburnummill::backends
--- /dev/null
+++ b/src/backends/backendhealth.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "framework/global/time.h"
+
+namespace laburnummill::backends {
+
+/// How a request at a backend server ended, as far as it tells of the server.
+enum class ServerOutcome
+{
+    Answered,    ///< a whole answer
+    Refused,     ///< the server said that it did not run the request
+    Unreachable, ///< no connection could be made
+    Broken,      ///< the connection or the answer broke off, or the server failed
+    Silent,      ///< no answer in time
+};
+
+/// What requests tell of one backend server. Health checks may lie; what requests meet does not.
+class BackendHealth
+{
+public:
+    /// Takes the outcome of a request; `slowness` is its time against that of its kind elsewhere (1 is usual, 0 unknown).
+    auto record(ServerOutcome outcome, double slowness, framework::Instant now) -> void;
+
+    /// Whether new work should go elsewhere for now.
+    auto isAvoided(framework::Instant now) const -> bool { return now < m_avoidedUntil; }
+
+    /// Share of recent requests that broke, 0 to 1.
+    auto failureShare() const -> double { return m_failureShare; }
+
+    /// Time of its work against that of others; 1 is usual.
+    auto slowness() const -> double { return m_slowness; }
+
+private:
+    double m_failureShare = 0;
+    double m_slowness = 1;
+    int m_failuresInARow = 0;
+    framework::Instant m_avoidedUntil{};
+};
+
+} // namespace laburnummill::backends
--- a/src/framework/logging/log.cpp
+++ b/src/framework/logging/log.cpp
@@ -26,7 +26,12 @@
 
 auto startLogging(std::string_view daemonName, LogLevel level) -> void
 {
-    auto logger = spdlog::stderr_logger_mt(std::string(daemonName));
+    useLogSink(daemonName, level, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+}
+
+auto useLogSink(std::string_view daemonName, LogLevel level, std::shared_ptr<spdlog::sinks::sink> sink) -> void
+{
+    auto logger = std::make_shared<spdlog::logger>(std::string(daemonName), std::move(sink));
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","daemon":"%n",%v})", spdlog::pattern_time_type::utc);
     logger->set_level(spdlogLevel(level));
     spdlog::set_default_logger(std::move(logger));
--- /dev/null
+++ b/src/peers/ipeers.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "framework/global/async.h"
+#include "framework/global/time.h"
+#include "peers/fleetmessages.pb.h"
+#include "peers/peererrors.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnummill::peers {
+
+/// The other hosts, as far as they are heard.
+class IPeers
+{
+public:
+    virtual ~IPeers() = default;
+
+    /// Addresses of all hosts that are heard, those of the own data centre first.
+    virtual auto everyone() const -> std::vector<std::string> = 0;
+
+    /// Up to two hosts that keep `key` while the store is away: one in another data centre where one is heard.
+    virtual auto keepers(std::string_view key) const -> std::vector<std::string> = 0;
+
+    /// Hosts that reach the store themselves, those of the own data centre first.
+    virtual auto storeHelpers() const -> std::vector<std::string> = 0;
+
+    /// Whether some host may hold turns that the store lacks: it said so, or it was not heard lately.
+    virtual auto mayHoldUnwritten() const -> bool = 0;
+
+    /// Whether the host at `address` is heard and has written all of its turns.
+    virtual auto hasWrittenAll(std::string_view address) const -> bool = 0;
+
+    virtual auto ownAddress() const -> std::string = 0;
+
+    virtual auto call(std::string address, messages::Request request, framework::Milliseconds timeout)
+        -> framework::AsyncResult<messages::Response> = 0;
+};
+
+} // namespace laburnummill::peers
--- /dev/null
+++ b/src/peers/peerlink.cpp
@@ -0,0 +1,176 @@
+#include "peers/peerlink.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <array>
+#include <cstring>
+
+namespace laburnummill::peers {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::AsyncResult;
+using framework::Milliseconds;
+
+/// Larger than any batch of turns that is handed over.
+constexpr auto s_largestFrame = std::uint32_t{8 * 1024 * 1024};
+
+} // namespace
+
+auto readFrame(asio::ip::tcp::socket& socket) -> Async<std::optional<std::string>>
+{
+    auto error = boost::system::error_code();
+    auto length = std::uint32_t{0};
+    co_await asio::async_read(socket, asio::buffer(&length, sizeof(length)), asio::redirect_error(asio::use_awaitable, error));
+    boost::endian::little_to_native_inplace(length);
+    if (error || length > s_largestFrame) {
+        co_return std::nullopt;
+    }
+    auto body = std::string(length, '\0');
+    co_await asio::async_read(socket, asio::buffer(body), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return std::nullopt;
+    }
+    co_return body;
+}
+
+auto frameOf(const google::protobuf::MessageLite& message) -> std::string
+{
+    const auto length = boost::endian::native_to_little(static_cast<std::uint32_t>(message.ByteSizeLong()));
+    auto frame = std::string(sizeof(length), '\0');
+    std::memcpy(frame.data(), &length, sizeof(length));
+    message.AppendToString(&frame);
+    return frame;
+}
+
+PeerLink::PeerLink(asio::any_io_executor executor, asio::ip::tcp::endpoint peer)
+    : m_executor(std::move(executor))
+    , m_peer(std::move(peer))
+{}
+
+auto PeerLink::call(messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
+{
+    const auto self = shared_from_this();
+    const auto id = m_nextId++;
+    request.set_id(id);
+    auto pending = std::make_shared<PendingCall>(PendingCall{.done = asio::steady_timer(m_executor), .response = {}, .isLost = false});
+    pending->done.expires_after(timeout);
+    m_pending.emplace(id, pending);
+    m_outgoing.push_back(frameOf(request));
+    const auto receivedBefore = m_received;
+    if (m_socket && !m_isConnecting && !m_isWriting) {
+        asio::co_spawn(m_executor, writeLoop(m_connection), asio::detached);
+    } else if (!m_socket && !m_isConnecting) {
+        asio::co_spawn(
+            m_executor,
+            [self]() -> Async<void> {
+                if (co_await self->connect()) {
+                    co_await self->writeLoop(self->m_connection);
+                }
+            },
+            asio::detached);
+    }
+    auto ignored = boost::system::error_code();
+    co_await pending->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_pending.erase(id);
+    if (pending->response) {
+        co_return std::move(*pending->response);
+    }
+    if (pending->isLost) {
+        co_return PeerError::Unreachable;
+    }
+    if (m_received == receivedBefore) {
+        drop();
+    }
+    co_return PeerError::TimedOut;
+}
+
+auto PeerLink::connect() -> Async<bool>
+{
+    m_isConnecting = true;
+    const auto connection = ++m_connection;
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    m_socket = socket;
+    auto error = boost::system::error_code();
+    co_await socket->async_connect(m_peer, asio::redirect_error(asio::use_awaitable, error));
+    if (connection != m_connection) {
+        co_return false;
+    }
+    m_isConnecting = false;
+    if (error) {
+        drop();
+        co_return false;
+    }
+    socket->set_option(asio::ip::tcp::no_delay(true), error);
+    asio::co_spawn(m_executor, readLoop(connection), asio::detached);
+    co_return true;
+}
+
+auto PeerLink::readLoop(std::uint64_t connection) -> Async<void>
+{
+    const auto self = shared_from_this();
+    const auto socket = m_socket;
+    while (connection == m_connection) {
+        const auto frame = co_await readFrame(*socket);
+        if (connection != m_connection) {
+            co_return;
+        }
+        auto response = messages::Response();
+        if (!frame || !response.ParseFromString(*frame)) {
+            drop();
+            co_return;
+        }
+        ++m_received;
+        const auto found = m_pending.find(response.id());
+        if (found != m_pending.end()) {
+            found->second->response = std::move(response);
+            found->second->done.cancel();
+        }
+    }
+}
+
+auto PeerLink::writeLoop(std::uint64_t connection) -> Async<void>
+{
+    const auto self = shared_from_this();
+    const auto socket = m_socket;
+    m_isWriting = true;
+    while (connection == m_connection && !m_outgoing.empty()) {
+        const auto frame = std::move(m_outgoing.front());
+        m_outgoing.pop_front();
+        auto error = boost::system::error_code();
+        co_await asio::async_write(*socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
+        if (error && connection == m_connection) {
+            drop();
+        }
+    }
+    if (connection == m_connection) {
+        m_isWriting = false;
+    }
+}
+
+auto PeerLink::drop() -> void
+{
+    ++m_connection;
+    m_isConnecting = false;
+    m_isWriting = false;
+    m_outgoing.clear();
+    if (m_socket) {
+        auto ignored = boost::system::error_code();
+        m_socket->close(ignored);
+    }
+    m_socket.reset();
+    for (auto& [id, pending] : m_pending) {
+        pending->isLost = true;
+        pending->done.cancel();
+    }
+}
+
+} // namespace laburnummill::peers
--- /dev/null
+++ b/src/peers/peerport.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "framework/global/async.h"
+#include "peers/ipeerhandler.h"
+#include "peers/peerlink.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace laburnummill::peers {
+
+/// This host's port towards other hosts: heartbeats as datagrams, calls over connections that are kept.
+class PeerPort
+{
+public:
+    /// Listens at `address` (IP and port, for TCP and UDP); throws boost::system::system_error where that fails.
+    PeerPort(framework::asio::any_io_executor executor, const framework::asio::ip::tcp::endpoint& address, IPeerHandler& handler);
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    /// Sends a heartbeat; one that is lost is not repeated.
+    auto sendHeartbeat(std::string_view address, const std::string& datagram) -> void;
+
+    auto call(std::string address, messages::Request request, framework::Milliseconds timeout)
+        -> framework::AsyncResult<messages::Response>;
+
+    /// Bytes sent to other hosts so far.
+    auto sentBytes() const -> std::uint64_t { return m_sentBytes; }
+
+private:
+    auto receiveLoop() -> framework::Async<void>;
+    auto acceptLoop() -> framework::Async<void>;
+    auto serve(framework::asio::ip::tcp::socket socket) -> framework::Async<void>;
+
+    static constexpr auto s_largestDatagram = std::size_t{65'536};
+
+    framework::asio::any_io_executor m_executor;
+    IPeerHandler& m_handler;
+    framework::asio::ip::udp::socket m_datagrams;
+    framework::asio::ip::tcp::acceptor m_acceptor;
+    std::map<std::string, std::shared_ptr<PeerLink>, std::less<>> m_links;
+    std::uint64_t m_sentBytes = 0;
+};
+
+/// IP:PORT as an endpoint; nothing where it is not one.
+auto endpointOf(std::string_view address) -> std::optional<framework::asio::ip::tcp::endpoint>;
+
+} // namespace laburnummill::peers
--- /dev/null
+++ b/src/peers/peertable.cpp
@@ -0,0 +1,135 @@
+#include "peers/peertable.h"
+
+#include <algorithm>
+
+namespace laburnummill::peers {
+
+namespace {
+
+using framework::Instant;
+using framework::Milliseconds;
+
+/// Heartbeats come every 200 ms; five missed in a row are no accident of the network.
+constexpr auto s_silentAfter = Milliseconds(1'000);
+
+/// Cuts and restarts end sooner; a host unheard for longer serves nobody.
+constexpr auto s_forgottenAfter = Milliseconds(15'000);
+
+auto admittedSince(const messages::Heartbeat& before, const messages::Heartbeat& now) -> std::vector<AdmittedElsewhere>
+{
+    auto known = std::map<std::string_view, std::uint64_t>();
+    for (const auto& use : before.accounts()) {
+        known[use.account()] = use.admitted();
+    }
+    auto news = std::vector<AdmittedElsewhere>();
+    for (const auto& use : now.accounts()) {
+        const auto difference = static_cast<std::int64_t>(use.admitted()) - static_cast<std::int64_t>(known[use.account()]);
+        if (difference != 0) {
+            news.push_back({.account = use.account(), .requests = difference});
+        }
+    }
+    return news;
+}
+
+} // namespace
+
+PeerTable::PeerTable(std::string ownAddress)
+    : m_ownAddress(std::move(ownAddress))
+{}
+
+auto PeerTable::learn(std::string_view address, Instant now) -> void
+{
+    if (address.empty() || address == m_ownAddress || m_peers.contains(address)) {
+        return;
+    }
+    m_peers.emplace(std::string(address), Peer{.address = std::string(address), .last = {}, .knownSince = now, .heardAt = {}});
+}
+
+auto PeerTable::receive(const messages::Heartbeat& heartbeat, Instant now) -> HeartbeatNews
+{
+    if (heartbeat.address() == m_ownAddress || heartbeat.address().empty()) {
+        return {.isStale = true, .isFirst = false, .admitted = {}};
+    }
+    learn(heartbeat.address(), now);
+    auto& peer = m_peers.find(heartbeat.address())->second;
+    const auto isSameStart = peer.last.incarnation() == heartbeat.incarnation();
+    const auto isOlder = isSameStart ? heartbeat.sequence() <= peer.last.sequence() : heartbeat.incarnation() < peer.last.incarnation();
+    if (isOlder) {
+        return {.isStale = true, .isFirst = false, .admitted = {}};
+    }
+    auto news = HeartbeatNews{.isStale = false, .isFirst = !isSameStart, .admitted = {}};
+    if (isSameStart) {
+        news.admitted = admittedSince(peer.last, heartbeat);
+    } else if (peer.last.incarnation() != 0) {
+        // Started anew: all that it counts came since it was heard last.
+        news.admitted = admittedSince(messages::Heartbeat(), heartbeat);
+    }
+    peer.last = heartbeat;
+    peer.heardAt = now;
+    return news;
+}
+
+auto PeerTable::heard(Instant now) const -> std::vector<const Peer*>
+{
+    auto found = std::vector<const Peer*>();
+    for (const auto& [address, peer] : m_peers) {
+        if (isHeard(peer, now)) {
+            found.push_back(&peer);
+        }
+    }
+    return found;
+}
+
+auto PeerTable::heardShare(Instant now) const -> double
+{
+    auto heardHosts = 1;
+    auto hosts = 1;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.last.is_leaving()) {
+            continue;
+        }
+        ++hosts;
+        heardHosts += isHeard(peer, now) ? 1 : 0;
+    }
+    return static_cast<double>(heardHosts) / hosts;
+}
+
+auto PeerTable::fleetSize(Instant now) const -> int
+{
+    static_cast<void>(now);
+    return 1 + static_cast<int>(std::ranges::count_if(m_peers, [](const auto& entry) { return !entry.second.last.is_leaving(); }));
+}
+
+auto PeerTable::forget(Instant now) -> void
+{
+    std::erase_if(m_peers, [now](const auto& entry) {
+        return std::max(entry.second.heardAt, entry.second.knownSince) + s_forgottenAfter < now;
+    });
+}
+
+auto PeerTable::addresses() const -> std::vector<std::string>
+{
+    auto found = std::vector<std::string>();
+    for (const auto& [address, peer] : m_peers) {
+        found.push_back(address);
+    }
+    return found;
+}
+
+auto PeerTable::runningElsewhere(Instant now) const -> std::map<std::string, int, std::less<>>
+{
+    auto running = std::map<std::string, int, std::less<>>();
+    for (const auto* peer : heard(now)) {
+        for (const auto& use : peer->last.backends()) {
+            running[use.backend()] += static_cast<int>(use.running());
+        }
+    }
+    return running;
+}
+
+auto PeerTable::isHeard(const Peer& peer, Instant now) -> bool
+{
+    return peer.heardAt != Instant{} && now < peer.heardAt + s_silentAfter;
+}
+
+} // namespace laburnummill::peers
--- /dev/null
+++ b/src/peers/peertable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "framework/global/time.h"
+#include "peers/fleetmessages.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnummill::peers {
+
+/// Another host as it was heard last.
+struct Peer
+{
+    std::string address;              ///< of its peer port, IP:PORT
+    messages::Heartbeat last;         ///< empty where it was never heard
+    framework::Instant knownSince{};
+    framework::Instant heardAt{};     ///< the epoch where it was never heard
+};
+
+/// Requests that another host admitted for a client account since its heartbeat before.
+struct AdmittedElsewhere
+{
+    std::string account;
+    std::int64_t requests = 0;
+};
+
+/// What one heartbeat tells beyond the one before.
+struct HeartbeatNews
+{
+    bool isStale = false;     ///< older than one already taken; to be ignored
+    bool isFirst = false;     ///< of this incarnation
+    std::vector<AdmittedElsewhere> admitted;
+};
+
+/// Who the other hosts are and which of them are heard. Holds no socket.
+class PeerTable
+{
+public:
+    explicit PeerTable(std::string ownAddress);
+
+    /// Learns of a host from settings, store or another host.
+    auto learn(std::string_view address, framework::Instant now) -> void;
+
+    auto receive(const messages::Heartbeat& heartbeat, framework::Instant now) -> HeartbeatNews;
+
+    /// Hosts heard lately, those that are leaving included.
+    auto heard(framework::Instant now) const -> std::vector<const Peer*>;
+
+    /// Share of the hosts that may be serving that are heard, this one included; 0 to 1.
+    auto heardShare(framework::Instant now) const -> double;
+
+    /// Hosts that may be serving, this one included.
+    auto fleetSize(framework::Instant now) const -> int;
+
+    /// Drops hosts that were not heard for long.
+    auto forget(framework::Instant now) -> void;
+
+    /// Addresses to send heartbeats to.
+    auto addresses() const -> std::vector<std::string>;
+
+    /// Requests of all heard hosts under way, by backend server.
+    auto runningElsewhere(framework::Instant now) const -> std::map<std::string, int, std::less<>>;
+
+private:
+    static auto isHeard(const Peer& peer, framework::Instant now) -> bool;
+
+    std::string m_ownAddress;
+    std::map<std::string, Peer, std::less<>> m_peers;
+};
+
+} // namespace laburnummill::peers
--- /dev/null
+++ b/src/programs/turn.cpp
@@ -0,0 +1,88 @@
+#include "programs/turn.h"
+
+#include "programs/turnrecords.pb.h"
+
+namespace laburnummill::programs {
+
+namespace {
+
+/// Raised when a field changes its meaning; older releases then leave such rows alone.
+constexpr auto s_format = std::uint32_t{1};
+
+/// Rough cost of a turn in memory beside its texts.
+constexpr auto s_overheadBytes = std::size_t{400};
+
+auto bytesOf(const Turn& turn) -> std::size_t
+{
+    return s_overheadBytes + turn.input.size() + turn.output.size() + turn.ancestors.size() * 48;
+}
+
+} // namespace
+
+auto encodeTurn(const Turn& turn) -> std::string
+{
+    auto record = records::TurnRecord();
+    record.set_format(s_format);
+    record.set_id(turn.id);
+    record.set_account(turn.account);
+    record.set_program(turn.program);
+    for (const auto& ancestor : turn.ancestors) {
+        record.add_ancestors(ancestor);
+    }
+    record.set_input(turn.input);
+    record.set_output(turn.output);
+    record.set_tokens(static_cast<std::uint32_t>(turn.tokens));
+    record.set_backend(turn.backend);
+    return record.SerializeAsString();
+}
+
+auto decodeTurn(std::string_view bytes) -> TurnPtr
+{
+    auto record = records::TurnRecord();
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || record.format() != s_format || record.id().empty()) {
+        return nullptr;
+    }
+    auto turn = std::make_shared<Turn>();
+    turn->id = record.id();
+    turn->account = record.account();
+    turn->program = record.program();
+    turn->ancestors.assign(record.ancestors().begin(), record.ancestors().end());
+    turn->input = record.input();
+    turn->output = record.output();
+    turn->tokens = static_cast<int>(record.tokens());
+    turn->backend = record.backend();
+    return turn;
+}
+
+TurnCache::TurnCache(std::size_t byteLimit)
+    : m_byteLimit(byteLimit)
+{}
+
+auto TurnCache::put(TurnPtr turn) -> void
+{
+    const auto id = turn->id;
+    if (m_turns.contains(id)) {
+        return;
+    }
+    m_bytes += bytesOf(*turn);
+    m_uses.push_front(id);
+    m_turns.emplace(id, Entry{.turn = std::move(turn), .use = m_uses.begin()});
+    while (m_bytes > m_byteLimit && m_uses.size() > 1) {
+        const auto oldest = m_turns.find(m_uses.back());
+        m_bytes -= bytesOf(*oldest->second.turn);
+        m_turns.erase(oldest);
+        m_uses.pop_back();
+    }
+}
+
+auto TurnCache::find(std::string_view id) -> TurnPtr
+{
+    const auto found = m_turns.find(std::string(id));
+    if (found == m_turns.end()) {
+        return nullptr;
+    }
+    m_uses.splice(m_uses.begin(), m_uses, found->second.use);
+    return found->second.turn;
+}
+
+} // namespace laburnummill::programs
--- /dev/null
+++ b/src/programs/turn.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "framework/global/result.h"
+#include "framework/global/time.h"
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace laburnummill::programs {
+
+/// One turn of a program: what came in, what the engine answered, and the turns that it continues.
+struct Turn
+{
+    std::string id;
+    std::string account;
+    std::string program;
+    std::vector<std::string> ancestors; ///< ids, oldest first
+    std::string input;
+    std::string output; ///< data of each event, each followed by a line feed
+    int tokens = 0;     ///< generated
+    std::string backend; ///< that ran it and may hold its text in memory
+};
+
+using TurnPtr = std::shared_ptr<const Turn>;
+
+/// A turn as it stands in the store.
+auto encodeTurn(const Turn& turn) -> std::string;
+
+/// Nothing where `bytes` are not a turn.
+auto decodeTurn(std::string_view bytes) -> TurnPtr;
+
+/// Turns in memory, bounded in bytes; those used longest ago leave first.
+class TurnCache
+{
+public:
+    explicit TurnCache(std::size_t byteLimit);
+
+    auto put(TurnPtr turn) -> void;
+    auto find(std::string_view id) -> TurnPtr;
+
+    auto bytes() const -> std::size_t { return m_bytes; }
+
+private:
+    struct Entry
+    {
+        TurnPtr turn;
+        std::list<std::string>::iterator use;
+    };
+
+    std::size_t m_byteLimit;
+    std::size_t m_bytes = 0;
+    std::unordered_map<std::string, Entry> m_turns;
+    std::list<std::string> m_uses; ///< ids, latest first
+};
+
+} // namespace laburnummill::programs
--- /dev/null
+++ b/src/scheduling/backendchoice.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "backends/backendbook.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace laburnummill::scheduling {
+
+/// A part of a prompt, in the order in which the engine reads them.
+struct PromptNeed
+{
+    std::string part;
+    int tokens = 0;
+};
+
+/// What one request needs of a backend server.
+struct WorkNeed
+{
+    std::vector<PromptNeed> prompt; ///< empty for plain services
+    std::string lastBackend;        ///< engine that ran the turn before; empty where there is none
+    int chainTokens = 0;            ///< of the prompt that only that engine holds
+    std::set<std::uint64_t> tried; ///< numbers of servers that are not to be tried again
+};
+
+/// Parts of prompts that an engine probably holds in memory, as seen from the requests of this host.
+class PromptMemory
+{
+public:
+    auto read(std::uint64_t engine, const std::vector<PromptNeed>& prompt) -> void;
+
+    /// Tokens of `prompt` that the engine has to read again: all from the first part that it lacks.
+    auto missing(std::uint64_t engine, const std::vector<PromptNeed>& prompt) const -> int;
+
+    auto forget(std::uint64_t engine) -> void { m_engines.erase(engine); }
+
+private:
+    struct Engine
+    {
+        std::unordered_map<std::string, std::uint64_t> parts; ///< with the number of their last use
+        std::uint64_t uses = 0;
+    };
+
+    std::unordered_map<std::uint64_t, Engine> m_engines;
+};
+
+/// Bounds what one host sends to a cold backend server: its part of what the server bears.
+class ColdStarts
+{
+public:
+    /// `perSecond` is what the server bears from all hosts, `hosts` how many there are.
+    auto mayTake(std::uint64_t server, double perSecond, int hosts, framework::Instant now) -> bool;
+    auto take(std::uint64_t server) -> void;
+    auto forget(std::uint64_t server) -> void { m_buckets.erase(server); }
+
+private:
+    struct Bucket
+    {
+        double tokens = 1;
+        framework::Instant filledAt{};
+    };
+
+    std::unordered_map<std::uint64_t, Bucket> m_buckets;
+};
+
+/// Where the host stands and what it compares servers by.
+struct ChoiceSettings
+{
+    std::string ownDataCentre;
+    double coldRequestsPerSecond = 0; ///< of the service; 0 means no bound
+    int hosts = 1;
+};
+
+/// Chooses the server where a request is expected to end first. Holds no socket.
+class BackendChoice
+{
+public:
+    auto choose(const std::vector<backends::BackendPtr>& servers, const WorkNeed& need, const ChoiceSettings& settings,
+                framework::Instant now) -> backends::BackendPtr;
+
+    /// A request goes to `server`.
+    auto started(const backends::BackendPtr& server, const WorkNeed& need, const ChoiceSettings& settings, framework::Instant now) -> void;
+
+private:
+    auto cost(const backends::Backend& server, const WorkNeed& need, const ChoiceSettings& settings, framework::Instant now) const
+        -> double;
+
+    PromptMemory m_memory;
+    ColdStarts m_coldStarts;
+    std::uint64_t m_turn = 0;
+};
+
+} // namespace laburnummill::scheduling
--- /dev/null
+++ b/src/serving/backendconnections.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "backends/backendbook.h"
+#include "framework/global/async.h"
+#include "framework/global/cancellation.h"
+#include "framework/global/iclock.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace laburnummill::serving {
+
+/// A connection to one start of a backend server; carries one request at a time.
+struct BackendConnection
+{
+    explicit BackendConnection(framework::asio::any_io_executor executor)
+        : socket(std::move(executor))
+    {}
+
+    framework::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    framework::Milliseconds idleTimeout{0}; ///< as the server states it
+    framework::Instant idleSince{};
+    int requests = 0; ///< sent on it so far
+};
+
+using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
+
+/// Connections to backend servers, kept between requests.
+class BackendConnections
+{
+public:
+    BackendConnections(framework::asio::any_io_executor executor, const framework::IClock& clock);
+
+    /// A kept connection that shows no sign of its end, or a new one; null where none could be made or `cancellation` came.
+    auto take(const backends::BackendPtr& backend, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
+
+    /// Keeps a connection whose answer was read whole.
+    auto giveBack(const backends::BackendPtr& backend, BackendConnectionPtr connection) -> void;
+
+    /// Closes connections that were idle for long, and those to servers that are gone.
+    auto sweep() -> void;
+
+    auto made() const -> std::uint64_t { return m_made; }
+
+private:
+    auto connect(const std::string& address, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
+    auto isStillGood(BackendConnection& connection) const -> bool;
+
+    struct Kept
+    {
+        std::weak_ptr<backends::Backend> backend;
+        std::deque<BackendConnectionPtr> connections; ///< used last at the back
+    };
+
+    framework::asio::any_io_executor m_executor;
+    const framework::IClock& m_clock;
+    std::map<backends::Backend*, Kept> m_kept;
+    std::uint64_t m_made = 0;
+};
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/callerconnection.cpp
@@ -0,0 +1,295 @@
+#include "serving/callerconnection.h"
+
+#include "framework/logging/log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <array>
+
+#include <sys/socket.h>
+
+namespace laburnummill::serving {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::Milliseconds;
+
+/// How long a caller may go on sending what nobody reads any more before the connection is closed for good.
+constexpr auto s_lingerTime = Milliseconds(500);
+
+auto isClosedByPeer(int descriptor) -> bool
+{
+    auto byte = char{0};
+    const auto received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+auto hasBytes(int descriptor) -> bool
+{
+    auto byte = char{0};
+    return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// Headers that concern one connection only.
+auto isHopByHop(std::string_view name) -> bool
+{
+    constexpr auto names = std::array<std::string_view, 8>{"connection",        "keep-alive", "transfer-encoding", "content-length",
+                                                           "proxy-connection", "te",         "trailer",           "upgrade"};
+    return std::ranges::any_of(names, [name](std::string_view hop) { return boost::beast::iequals(name, hop); });
+}
+
+auto refusalStatus(const boost::system::error_code& error) -> http::status
+{
+    if (error == http::error::header_limit) {
+        return http::status::request_header_fields_too_large;
+    }
+    if (error == http::error::body_limit) {
+        return http::status::payload_too_large;
+    }
+    return http::status::bad_request;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerSide& side)
+    : m_socket(std::move(socket))
+    , m_side(side)
+    , m_timer(m_socket.get_executor())
+    , m_callerLeft(std::make_shared<framework::Cancellation>())
+{}
+
+auto CallerConnection::run() -> Async<void>
+{
+    const auto self = shared_from_this();
+    while (m_keepsOpen && !m_isBroken && m_socket.is_open()) {
+        auto request = co_await readRequest();
+        if (!request) {
+            break;
+        }
+        m_isBusy = true;
+        ++m_side.openRequests;
+        co_await handle(std::move(*request));
+        --m_side.openRequests;
+        m_isBusy = false;
+        m_keepsOpen = m_keepsOpen && !m_side.isStopping;
+    }
+    close();
+}
+
+auto CallerConnection::closeIfIdle() -> void
+{
+    if (!m_isBusy && m_buffer.size() == 0 && m_socket.is_open() && !hasBytes(m_socket.native_handle())) {
+        auto ignored = boost::system::error_code();
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        m_socket.cancel(ignored);
+    }
+}
+
+auto CallerConnection::limits() const -> routing::CallerLimits
+{
+    const auto& routes = m_side.parts.knowledge.routes();
+    return routes ? routes->configuration().limits : routing::CallerLimits();
+}
+
+auto CallerConnection::readWithin(Parser& parser, bool isHeader, Milliseconds timeout) -> Async<boost::system::error_code>
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
+            auto ignored = boost::system::error_code();
+            self->m_socket.cancel(ignored);
+        }
+    });
+    auto error = boost::system::error_code();
+    if (isHeader) {
+        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    } else {
+        co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    m_timer.cancel();
+    co_return error;
+}
+
+auto CallerConnection::readRequest() -> Async<std::optional<CallerRequest>>
+{
+    const auto limits = this->limits();
+    if (m_buffer.size() == 0) {
+        m_timer.expires_after(limits.idleTimeout);
+        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+            if (const auto self = weak.lock(); !error && self) {
+                self->closeIfIdle();
+            }
+        });
+        auto error = boost::system::error_code();
+        co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        m_timer.cancel();
+        if (error || isClosedByPeer(m_socket.native_handle())) {
+            co_return std::nullopt;
+        }
+    }
+    auto parser = Parser();
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    auto error = co_await readWithin(parser, true, limits.headerTimeout);
+    if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!error && !parser.is_done()) {
+        error = co_await readWithin(parser, false, limits.idleTimeout);
+    }
+    m_isHead = parser.get().method() == http::verb::head;
+    if (error) {
+        co_await refuseUnread(error);
+        co_return std::nullopt;
+    }
+    m_keepsOpen = parser.get().keep_alive() && parser.get().version() >= 11;
+    auto request = m_side.wire.decodeRequest(parser.get().base());
+    if (!request) {
+        m_keepsOpen = false;
+        co_await refuse(Refusal::BadRequest, std::nullopt);
+        co_return std::nullopt;
+    }
+    request->body = std::move(parser.get().body());
+    request->arrivedAt = m_side.parts.clock.now();
+    co_return request;
+}
+
+auto CallerConnection::refuseUnread(const boost::system::error_code& error) -> Async<void>
+{
+    m_keepsOpen = false;
+    if (error.category() != http::make_error_code(http::error::bad_method).category() || error == http::error::end_of_stream ||
+        error == http::error::partial_message) {
+        co_return; // Closed, or too slow: nobody waits for an answer.
+    }
+    framework::logEvent(framework::LogLevel::Info, "serving", "request_unreadable", {{"reason", error.message()}});
+    co_await write(fmt::format("HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                               static_cast<unsigned>(refusalStatus(error)), std::string(http::obsolete_reason(refusalStatus(error)))));
+    // A reset for what is still unread would take the answer with it.
+    auto ignored = boost::system::error_code();
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    auto pause = asio::steady_timer(m_socket.get_executor(), s_lingerTime);
+    co_await pause.async_wait(asio::use_awaitable);
+}
+
+auto CallerConnection::handle(CallerRequest request) -> Async<void>
+{
+    m_requestId = request.id;
+    m_hasBegun = false;
+    m_callerLeft = std::make_shared<framework::Cancellation>();
+    watch();
+    {
+        auto run = RequestRun(m_side.parts, std::move(request), *this);
+        co_await run.run();
+    }
+    m_callerLeft = std::make_shared<framework::Cancellation>();
+}
+
+auto CallerConnection::watch() -> void
+{
+    if (m_isWatching) {
+        return;
+    }
+    m_isWatching = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->m_isWatching = false;
+        if (!self->m_isBusy) {
+            return;
+        }
+        if (error || isClosedByPeer(self->m_socket.native_handle())) {
+            self->m_isBroken = true;
+            self->m_callerLeft->cancel();
+        }
+    });
+}
+
+auto CallerConnection::refuse(Refusal refusal, std::optional<Milliseconds> retryAfter) -> Async<void>
+{
+    auto fields = http::fields();
+    m_side.wire.markOwnAnswer(fields, m_requestId, retryAfter);
+    const auto status = statusOf(refusal);
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string(http::obsolete_reason(static_cast<http::status>(status))));
+    for (const auto& field : fields) {
+        text += std::string(field.name_string()) + ": " + std::string(field.value()) + "\r\n";
+    }
+    const auto body = fmt::format(R"({{"error":"{}"}})", framework::nameOf(s_refusalNames, refusal));
+    text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", body.size());
+    text += m_keepsOpen && !m_side.isStopping ? "\r\n" : "Connection: close\r\n\r\n";
+    co_await write(text + (m_isHead ? "" : body));
+}
+
+auto CallerConnection::headText(const http::response_header<>& head, std::string_view framing) const -> std::string
+{
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", head.result_int(), std::string(head.reason()));
+    for (const auto& field : head) {
+        if (!isHopByHop(std::string_view(field.name_string().data(), field.name_string().size()))) {
+            text += std::string(field.name_string()) + ": " + std::string(field.value()) + "\r\n";
+        }
+    }
+    text += framing;
+    return text + (m_keepsOpen && !m_side.isStopping ? "\r\n" : "Connection: close\r\n\r\n");
+}
+
+auto CallerConnection::whole(const http::response_header<>& head, std::string body) -> Async<bool>
+{
+    m_hasBegun = true;
+    const auto text = headText(head, fmt::format("Content-Length: {}\r\n", body.size()));
+    co_return co_await write(m_isHead ? text : text + body);
+}
+
+auto CallerConnection::begin(const http::response_header<>& head) -> Async<bool>
+{
+    m_pendingHead = headText(head, "Transfer-Encoding: chunked\r\n");
+    co_return true;
+}
+
+auto CallerConnection::piece(std::string_view bytes) -> Async<bool>
+{
+    m_hasBegun = true;
+    auto text = std::exchange(m_pendingHead, {}) + fmt::format("{:x}\r\n", bytes.size());
+    text += bytes;
+    text += "\r\n";
+    co_return co_await write(std::move(text));
+}
+
+auto CallerConnection::end() -> Async<bool>
+{
+    co_return co_await write("0\r\n\r\n");
+}
+
+auto CallerConnection::breakOff() -> void
+{
+    m_keepsOpen = false;
+    m_isBroken = true;
+    close();
+}
+
+auto CallerConnection::write(std::string text) -> Async<bool>
+{
+    auto error = boost::system::error_code();
+    co_await asio::async_write(m_socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        m_isBroken = true;
+    }
+    co_return !error;
+}
+
+auto CallerConnection::close() -> void
+{
+    auto ignored = boost::system::error_code();
+    m_timer.cancel();
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/exchange.cpp
@@ -0,0 +1,170 @@
+#include "serving/exchange.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace laburnummill::serving {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::CancellationPtr;
+using framework::Milliseconds;
+
+/// Larger than any head or plain answer of a backend server.
+constexpr auto s_headLimit = std::uint32_t{64 * 1024};
+constexpr auto s_bodyLimit = std::uint64_t{64 * 1024 * 1024};
+
+/// Answers to other requests that may stand before the one awaited.
+constexpr auto s_strayAnswers = 3;
+
+constexpr auto s_pieceBytes = std::size_t{16 * 1024};
+
+using Parser = http::response_parser<http::buffer_body>;
+
+auto headText(const http::request_header<>& head, std::size_t bodyBytes) -> std::string
+{
+    auto text = std::string(head.method_string()) + ' ' + std::string(head.target()) + " HTTP/1.1\r\n";
+    for (const auto& field : head) {
+        text += std::string(field.name_string()) + ": " + std::string(field.value()) + "\r\n";
+    }
+    if (bodyBytes > 0 || (head.method() != http::verb::get && head.method() != http::verb::head)) {
+        text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
+    }
+    return text + "\r\n";
+}
+
+/// Reads what is left of a body; each part goes to `take`, which may end the reading.
+template<class Take>
+auto readBody(BackendConnection& connection, Parser& parser, Take take) -> Async<bool>
+{
+    auto storage = std::array<char, s_pieceBytes>();
+    while (!parser.is_done()) {
+        parser.get().body().data = storage.data();
+        parser.get().body().size = storage.size();
+        auto error = boost::system::error_code();
+        co_await http::async_read_some(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        const auto read = storage.size() - parser.get().body().size;
+        if (error || (read > 0 && !co_await take(std::string_view(storage.data(), read)))) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+} // namespace
+
+Exchange::Exchange(BackendConnections& connections, const IWire& wire, const framework::IClock& clock)
+    : m_connections(connections)
+    , m_wire(wire)
+    , m_clock(clock)
+{}
+
+auto Exchange::attempt(const backends::BackendPtr& backend, const CallerRequest& request, BackendTarget target, IPieces* pieces,
+                       CancellationPtr cancellation) -> Async<AttemptResult>
+{
+    auto result = AttemptResult();
+    const auto began = m_clock.now();
+    const auto connection = co_await m_connections.take(backend, cancellation);
+    if (!connection) {
+        result.end = cancellation->cancelled() ? AttemptEnd::CancelledUnsent : AttemptEnd::NotSent;
+        co_return result;
+    }
+    const auto weak = std::weak_ptr(connection);
+    cancellation->onCancel([weak] {
+        if (const auto found = weak.lock()) {
+            auto ignored = boost::system::error_code();
+            found->socket.close(ignored);
+        }
+    });
+    if (!connection->socket.is_open()) {
+        result.end = AttemptEnd::CancelledUnsent;
+        co_return result;
+    }
+    target.timeLeft -= std::chrono::duration_cast<Milliseconds>(m_clock.now() - began);
+    ++connection->requests;
+    result.end = AttemptEnd::Lost;
+    const auto isSent = co_await send(*connection, request, target);
+    const auto isWhole = isSent && co_await receive(*connection, request, pieces, result);
+    if (cancellation->cancelled() && (result.end == AttemptEnd::Lost || result.end == AttemptEnd::BrokenOff)) {
+        result.end = AttemptEnd::Cancelled;
+        co_return result;
+    }
+    if (isWhole) {
+        m_connections.giveBack(backend, connection);
+    }
+    co_return result;
+}
+
+auto Exchange::send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> Async<bool>
+{
+    const auto head = headText(m_wire.encodeRequest(request, target), request.body.size());
+    const auto buffers = std::array{asio::buffer(head), asio::buffer(request.body)};
+    auto error = boost::system::error_code();
+    co_await asio::async_write(connection.socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+auto Exchange::receive(BackendConnection& connection, const CallerRequest& request, IPieces* pieces, AttemptResult& result) -> Async<bool>
+{
+    const auto began = m_clock.now();
+    for (auto stray = 0; stray <= s_strayAnswers; ++stray) {
+        auto parser = Parser();
+        parser.header_limit(s_headLimit);
+        parser.body_limit(s_bodyLimit);
+        parser.skip(request.method == "HEAD");
+        auto error = boost::system::error_code();
+        co_await http::async_read_header(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return false;
+        }
+        const auto& head = parser.get().base();
+        const auto marks = m_wire.decodeReply(head);
+        if (!marks.requestId.empty() && marks.requestId != request.id) {
+            // The answer to a request that was given up on; ours comes behind it.
+            if (!co_await readBody(connection, parser, [](std::string_view) -> Async<bool> { co_return true; }) || !parser.keep_alive()) {
+                co_return false;
+            }
+            continue;
+        }
+        result.head = head;
+        result.marks = marks;
+        result.toHead = std::chrono::duration_cast<Milliseconds>(m_clock.now() - began);
+        const auto isSuccess = head.result_int() >= 200 && head.result_int() < 300;
+        const auto isStreamed = pieces != nullptr && isSuccess && marks.isSigned && !marks.isEncoded && marks.requestId == request.id;
+        result.end = AttemptEnd::BrokenOff;
+        if (isStreamed && !co_await pieces->onHead(head)) {
+            co_return false;
+        }
+        const auto take = [&result, pieces, isStreamed](std::string_view bytes) -> Async<bool> {
+            if (isStreamed) {
+                co_return co_await pieces->onPiece(bytes);
+            }
+            result.body += bytes;
+            co_return true;
+        };
+        if (!co_await readBody(connection, parser, take)) {
+            co_return false;
+        }
+        const auto isNotRun = marks.saysNotRun && !isSuccess;
+        result.end = isNotRun ? AttemptEnd::NotRun : AttemptEnd::Answered;
+        if (head.result_int() == static_cast<unsigned>(http::status::misdirected_request)) {
+            result.end = AttemptEnd::OtherServer;
+        } else if (isSuccess && (!marks.isSigned || marks.isEncoded || marks.requestId != request.id)) {
+            result.end = AttemptEnd::Lost;
+        }
+        connection.idleTimeout = marks.idleTimeout.value_or(Milliseconds(0));
+        co_return parser.keep_alive() && !parser.need_eof() && result.end != AttemptEnd::Lost;
+    }
+    co_return false;
+}
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/fleetknowledge.cpp
@@ -0,0 +1,99 @@
+#include "serving/fleetknowledge.h"
+
+#include "framework/logging/log.h"
+
+#include <algorithm>
+
+namespace laburnummill::serving {
+
+namespace {
+
+using framework::LogLevel;
+
+} // namespace
+
+auto TableCopy::take(const std::vector<store::Row>& rows, std::uint64_t version, bool isWhole) -> std::vector<store::Row>
+{
+    auto news = std::vector<store::Row>();
+    for (const auto& row : rows) {
+        auto& known = m_rows[row.address.key];
+        if (row.version > known.version) {
+            known = row;
+            news.push_back(row);
+        }
+    }
+    if (isWhole && version >= m_version) {
+        for (auto& [key, known] : m_rows) {
+            const auto isThere = std::ranges::any_of(rows, [&key](const auto& row) { return row.address.key == key; });
+            if (!isThere && !known.isRemoved && known.version <= version) {
+                known.isRemoved = true;
+                known.value.clear();
+                known.version = version;
+                news.push_back(known);
+            }
+        }
+    }
+    m_version = std::max(m_version, version);
+    for (const auto& row : news) {
+        m_newestRow = std::max(m_newestRow, row.version);
+    }
+    return news;
+}
+
+auto TableCopy::since(std::uint64_t version) const -> std::vector<store::Row>
+{
+    auto rows = std::vector<store::Row>();
+    for (const auto& [key, row] : m_rows) {
+        if (row.version > version) {
+            rows.push_back(row);
+        }
+    }
+    std::ranges::sort(rows, {}, &store::Row::version);
+    return rows;
+}
+
+FleetKnowledge::FleetKnowledge(const IRowDecoder& decoder, const framework::IClock& clock)
+    : m_decoder(decoder)
+    , m_clock(clock)
+{}
+
+auto FleetKnowledge::takeOperatorRows(const std::vector<store::Row>& rows, std::uint64_t version, bool isWhole, std::string_view source)
+    -> void
+{
+    for (const auto& row : m_operatorTable.take(rows, version, isWhole)) {
+        auto decoded = m_decoder.operatorRow(row);
+        if (auto* configuration = std::get_if<routing::FleetConfiguration>(&decoded)) {
+            if (m_routes && configuration->version <= m_routes->version()) {
+                continue;
+            }
+            m_routes = std::make_shared<routing::RouteTable>(std::move(*configuration));
+            framework::logEvent(LogLevel::Info, "configuration", "in_force", {{"version", m_routes->version()}, {"source", source}});
+        } else if (const auto* drain = std::get_if<DataCentreDrain>(&decoded)) {
+            if (drain->isWithdrawn) {
+                m_drained.erase(drain->dataCentre);
+            } else {
+                m_drained.insert(drain->dataCentre);
+            }
+            m_backends.setDrainedDataCentres(m_drained);
+            framework::logEvent(LogLevel::Info, "configuration", drain->isWithdrawn ? "data_centre_returned" : "data_centre_drained",
+                                {{"dataCentre", drain->dataCentre}, {"source", source}});
+        } else {
+            framework::logEvent(LogLevel::Warning, "configuration", "row_unreadable", {{"row", row.address.key}});
+        }
+    }
+}
+
+auto FleetKnowledge::takeBackendRows(const std::vector<store::Row>& rows, std::uint64_t version, bool isWhole, bool isCertain) -> void
+{
+    const auto now = m_clock.now();
+    for (const auto& row : m_backendTable.take(rows, version, isWhole)) {
+        const auto entry = row.isRemoved ? std::nullopt : m_decoder.backendRow(row);
+        if (entry) {
+            m_backends.put(*entry, now);
+        } else {
+            m_backends.remove(row.address.key, isCertain, now);
+        }
+    }
+}
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/fleetlink.cpp
@@ -0,0 +1,358 @@
+#include "serving/fleetlink.h"
+
+#include "framework/global/digest.h"
+#include "framework/logging/log.h"
+#include "store/storemessages.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace laburnummill::serving {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::AsyncResult;
+using framework::Milliseconds;
+namespace messages = peers::messages;
+
+/// A fifth of a second: counts over all hosts lag by no more than that part of a rate.
+constexpr auto s_shortestBeat = Milliseconds(200);
+
+/// Keeps the datagrams that a host sends below about a hundred a second in large fleets.
+constexpr auto s_beatPerHost = Milliseconds(8);
+
+constexpr auto s_catchUpTimeout = Milliseconds(400);
+
+/// Addresses told in one heartbeat: enough that a new host soon knows all.
+constexpr auto s_addressesTold = std::size_t{8};
+
+constexpr auto s_operatorTable = "operator";
+constexpr auto s_backendTable = "backends";
+
+} // namespace
+
+FleetLink::FleetLink(asio::any_io_executor executor, const HostSettings& settings, std::uint64_t incarnation,
+                     const framework::IClock& clock, framework::Metrics& metrics, SharedState& state)
+    : m_executor(executor)
+    , m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_state(state)
+    , m_table(settings.peerAddress)
+    , m_port(executor, peers::endpointOf(settings.peerAddress).value(), *this)
+{
+    for (const auto& seed : settings.seedPeers) {
+        learn(seed);
+    }
+}
+
+auto FleetLink::start() -> void
+{
+    m_port.start();
+    asio::co_spawn(m_executor, beatLoop(), asio::detached);
+}
+
+auto FleetLink::stop() -> void
+{
+    m_isStopped = true;
+    m_port.stop();
+}
+
+auto FleetLink::sayGoodbye() -> void
+{
+    m_isLeaving = true;
+    sendToAll();
+}
+
+auto FleetLink::beatLoop() -> Async<void>
+{
+    auto timer = asio::steady_timer(m_executor);
+    while (!m_isStopped) {
+        sendToAll();
+        refreshRunningElsewhere();
+        const auto now = m_clock.now();
+        m_table.forget(now);
+        m_state.limiter.setHeardShare(m_table.heardShare(now), now);
+        timer.expires_after(std::max(s_shortestBeat, s_beatPerHost * m_table.fleetSize(now)));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+auto FleetLink::sendToAll() -> void
+{
+    ++m_sequence;
+    const auto datagram = makeHeartbeat().SerializeAsString();
+    for (const auto& address : m_table.addresses()) {
+        m_port.sendHeartbeat(address, datagram);
+    }
+}
+
+auto FleetLink::makeHeartbeat() const -> messages::Heartbeat
+{
+    auto beat = messages::Heartbeat();
+    beat.set_host(m_settings.host);
+    beat.set_incarnation(m_incarnation);
+    beat.set_sequence(m_sequence);
+    beat.set_data_centre(m_settings.dataCentre);
+    beat.set_address(m_settings.peerAddress);
+    beat.set_is_ready(m_isReady);
+    beat.set_is_leaving(m_isLeaving);
+    beat.set_reaches_store(m_state.store->directWay().isSound());
+    beat.set_configuration_version(m_state.knowledge.routes() ? m_state.knowledge.routes()->version() : 0);
+    beat.set_operator_version(m_state.knowledge.operatorTable().newestRow());
+    beat.set_backend_version(m_state.knowledge.backendTable().newestRow());
+    beat.set_unwritten_turns(static_cast<std::uint32_t>(m_state.journal->unwritten()));
+    for (const auto& [account, admitted] : m_state.limiter.admitted()) {
+        auto* use = beat.add_accounts();
+        use->set_account(account);
+        use->set_admitted(admitted);
+    }
+    for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
+        if (backend->running > 0) {
+            auto* use = beat.add_backends();
+            use->set_backend(id);
+            use->set_running(static_cast<std::uint32_t>(backend->running));
+        }
+    }
+    for (const auto& crash : m_state.quarantine.toTell(m_clock.now())) {
+        auto* told = beat.add_crashes();
+        told->set_fingerprint(crash.fingerprint);
+        told->set_crashes(crash.crashes);
+    }
+    const auto addresses = m_table.addresses();
+    for (auto index = std::size_t{0}; index < std::min(addresses.size(), s_addressesTold); ++index) {
+        beat.add_known_addresses(addresses[(m_sequence * s_addressesTold + index) % addresses.size()]);
+    }
+    return beat;
+}
+
+auto FleetLink::refreshRunningElsewhere() -> void
+{
+    const auto running = m_table.runningElsewhere(m_clock.now());
+    for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
+        const auto found = running.find(id);
+        backend->runningElsewhere = found == running.end() ? 0 : found->second;
+    }
+}
+
+auto FleetLink::onHeartbeat(const messages::Heartbeat& heartbeat) -> void
+{
+    const auto now = m_clock.now();
+    const auto news = m_table.receive(heartbeat, now);
+    if (news.isStale) {
+        return;
+    }
+    if (news.isFirst) {
+        framework::logEvent(framework::LogLevel::Info, "peers", "host_heard",
+                            {{"host", heartbeat.host()}, {"address", heartbeat.address()}, {"dataCentre", heartbeat.data_centre()}});
+    }
+    for (const auto& address : heartbeat.known_addresses()) {
+        m_table.learn(address, now);
+    }
+    for (const auto& use : news.admitted) {
+        m_state.limiter.takeElsewhere(use.account, use.requests, now);
+    }
+    auto crashes = std::vector<SuspectedCrash>();
+    for (const auto& crash : heartbeat.crashes()) {
+        crashes.push_back({.fingerprint = crash.fingerprint(), .crashes = crash.crashes()});
+    }
+    m_state.quarantine.takeElsewhere(heartbeat.address(), crashes, now);
+    if (heartbeat.operator_version() > m_state.knowledge.operatorTable().newestRow()) {
+        asio::co_spawn(m_executor, catchUp(heartbeat.address(), Table::Operator, heartbeat.reaches_store()), asio::detached);
+    }
+    if (heartbeat.backend_version() > m_state.knowledge.backendTable().newestRow()) {
+        asio::co_spawn(m_executor, catchUp(heartbeat.address(), Table::Backends, heartbeat.reaches_store()), asio::detached);
+    }
+}
+
+auto FleetLink::catchUp(std::string address, Table table, bool isCertain) -> Async<void>
+{
+    auto& isBusy = m_isCatchingUp[static_cast<std::size_t>(table)];
+    if (isBusy) {
+        co_return;
+    }
+    isBusy = true;
+    auto& knowledge = m_state.knowledge;
+    const auto& copy = table == Table::Operator ? knowledge.operatorTable() : knowledge.backendTable();
+    auto request = messages::Request();
+    request.mutable_changes()->set_table(table == Table::Operator ? s_operatorTable : s_backendTable);
+    request.mutable_changes()->set_after(copy.newestRow());
+    const auto response = co_await call(address, std::move(request), s_catchUpTimeout);
+    isBusy = false;
+    if (!response) {
+        co_return; // The next heartbeat of any host starts another try.
+    }
+    auto rows = std::vector<store::Row>();
+    for (const auto& row : response.value().rows()) {
+        rows.push_back(store::fromMessage(row));
+    }
+    m_metrics.count("rows_from_peers", {}, rows.size());
+    if (table == Table::Operator) {
+        knowledge.takeOperatorRows(rows, 0, false, "peer");
+    } else {
+        knowledge.takeBackendRows(rows, 0, false, isCertain);
+    }
+}
+
+auto FleetLink::everyone() const -> std::vector<std::string>
+{
+    auto near = std::vector<std::string>();
+    auto far = std::vector<std::string>();
+    for (const auto* peer : m_table.heard(m_clock.now())) {
+        (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+auto FleetLink::keepers(std::string_view key) const -> std::vector<std::string>
+{
+    auto near = std::vector<std::pair<std::uint64_t, std::string>>();
+    auto far = near;
+    for (const auto* peer : m_table.heard(m_clock.now())) {
+        if (!peer->last.is_leaving()) {
+            const auto rank = framework::hash64(key, framework::hash64(peer->address));
+            (peer->last.data_centre() == m_settings.dataCentre ? near : far).emplace_back(rank, peer->address);
+        }
+    }
+    std::ranges::sort(near);
+    std::ranges::sort(far);
+    auto chosen = std::vector<std::string>();
+    if (!far.empty()) {
+        chosen.push_back(far.front().second);
+    }
+    for (const auto& [rank, address] : near) {
+        if (chosen.size() < 2) {
+            chosen.push_back(address);
+        }
+    }
+    if (chosen.size() < 2 && far.size() > 1) {
+        chosen.push_back(far[1].second);
+    }
+    return chosen;
+}
+
+auto FleetLink::storeHelpers() const -> std::vector<std::string>
+{
+    auto near = std::vector<std::string>();
+    auto far = std::vector<std::string>();
+    for (const auto* peer : m_table.heard(m_clock.now())) {
+        if (peer->last.reaches_store() && !peer->last.is_leaving()) {
+            (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
+        }
+    }
+    // Hosts take turns, so that one is not asked by all.
+    if (near.size() > 1) {
+        std::ranges::rotate(near, near.begin() + static_cast<std::ptrdiff_t>(m_sequence % near.size()));
+    }
+    if (far.size() > 1) {
+        std::ranges::rotate(far, far.begin() + static_cast<std::ptrdiff_t>(m_sequence % far.size()));
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+auto FleetLink::mayHoldUnwritten() const -> bool
+{
+    const auto now = m_clock.now();
+    return m_table.heardShare(now) < 1 ||
+           std::ranges::any_of(m_table.heard(now), [](const auto* peer) { return peer->last.unwritten_turns() > 0; });
+}
+
+auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
+{
+    return std::ranges::any_of(m_table.heard(m_clock.now()), [address](const auto* peer) {
+        return peer->address == address && peer->last.unwritten_turns() == 0;
+    });
+}
+
+auto FleetLink::call(std::string address, messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
+{
+    m_metrics.count("peer_calls");
+    co_return co_await m_port.call(std::move(address), std::move(request), timeout);
+}
+
+auto FleetLink::onRequest(messages::Request request) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    switch (request.body_case()) {
+    case messages::Request::kTransaction:
+    case messages::Request::kListing:
+        co_return co_await answerStoreCall(request);
+    case messages::Request::kChanges:
+        co_return answerChanges(request.changes());
+    case messages::Request::kTurnQuery:
+        if (const auto turn = m_state.journal->findHere(request.turn_query().id())) {
+            response.set_turn(programs::encodeTurn(*turn));
+        }
+        break;
+    case messages::Request::kKeptTurns: {
+        const auto& kept = request.kept_turns();
+        m_state.journal->keepFor(kept.origin(), {kept.records().begin(), kept.records().end()});
+        break;
+    }
+    case messages::Request::kGrantQuery: {
+        const auto& query = request.grant_query();
+        const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
+        response.set_knows_program(m_state.budgets->knows(key));
+        response.set_granted(m_state.budgets->giveAway(key, query.tokens(), query.may_borrow()));
+        response.set_reserved(m_state.budgets->reserved(key));
+        response.set_address(m_settings.peerAddress);
+        break;
+    }
+    case messages::Request::BODY_NOT_SET:
+        framework::logEvent(framework::LogLevel::Warning, "peers", "request_unknown");
+        break;
+    }
+    co_return response;
+}
+
+auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    const auto setError = [&response](const std::error_code& error) { response.set_store_error(static_cast<std::uint32_t>(error.value())); };
+    m_metrics.count("store_calls_for_peers");
+    if (request.has_transaction()) {
+        const auto reply = co_await m_state.directStore.transact(store::fromMessage(request.transaction()));
+        if (!reply) {
+            setError(reply.error());
+            co_return response;
+        }
+        response.set_is_applied(reply.value().isApplied);
+        response.set_version(reply.value().version);
+        for (const auto& row : reply.value().currentRows) {
+            *response.add_rows() = store::toMessage(row);
+        }
+        co_return response;
+    }
+    const auto page = co_await m_state.directStore.list(store::fromMessage(request.listing()));
+    if (!page) {
+        setError(page.error());
+        co_return response;
+    }
+    response.set_version(page.value().version);
+    response.set_has_more(page.value().hasMore);
+    for (const auto& row : page.value().rows) {
+        *response.add_rows() = store::toMessage(row);
+    }
+    co_return response;
+}
+
+auto FleetLink::answerChanges(const messages::Changes& changes) const -> messages::Response
+{
+    auto response = messages::Response();
+    const auto& copy = changes.table() == s_operatorTable ? m_state.knowledge.operatorTable() : m_state.knowledge.backendTable();
+    for (const auto& row : copy.since(changes.after())) {
+        *response.add_rows() = store::toMessage(row);
+    }
+    return response;
+}
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/fleetlink.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "accounts/fleetlimiter.h"
+#include "framework/global/iclock.h"
+#include "framework/metrics/metrics.h"
+#include "peers/ipeers.h"
+#include "peers/peerport.h"
+#include "peers/peertable.h"
+#include "programs/budgetledger.h"
+#include "programs/turnjournal.h"
+#include "serving/fleetknowledge.h"
+#include "serving/hostsettings.h"
+#include "serving/quarantine.h"
+#include "store/routedstore.h"
+
+namespace laburnummill::serving {
+
+/// What this host shares with others, and takes from them.
+struct SharedState
+{
+    FleetKnowledge& knowledge;
+    accounts::FleetLimiter& limiter;
+    Quarantine& quarantine;
+    store::IStore& directStore;
+    store::RoutedStore* store = nullptr;
+    programs::TurnJournal* journal = nullptr;
+    programs::BudgetLedger* budgets = nullptr;
+};
+
+/// This host among the others: heartbeats, calls, and answers to the calls of others.
+class FleetLink final : public peers::IPeers, public peers::IPeerHandler
+{
+public:
+    FleetLink(framework::asio::any_io_executor executor, const HostSettings& settings, std::uint64_t incarnation,
+              const framework::IClock& clock, framework::Metrics& metrics, SharedState& state);
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    auto learn(const std::string& address) -> void { m_table.learn(address, m_clock.now()); }
+    auto fleetSize() const -> int { return m_table.fleetSize(m_clock.now()); }
+    auto setReady(bool isReady) -> void { m_isReady = isReady; }
+
+    /// Tells all others at once that this host leaves.
+    auto sayGoodbye() -> void;
+
+    auto everyone() const -> std::vector<std::string> override;
+    auto keepers(std::string_view key) const -> std::vector<std::string> override;
+    auto storeHelpers() const -> std::vector<std::string> override;
+    auto mayHoldUnwritten() const -> bool override;
+    auto hasWrittenAll(std::string_view address) const -> bool override;
+    auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
+    auto call(std::string address, peers::messages::Request request, framework::Milliseconds timeout)
+        -> framework::AsyncResult<peers::messages::Response> override;
+
+    auto onHeartbeat(const peers::messages::Heartbeat& heartbeat) -> void override;
+    auto onRequest(peers::messages::Request request) -> framework::Async<peers::messages::Response> override;
+
+private:
+    enum class Table
+    {
+        Operator,
+        Backends,
+    };
+
+    auto beatLoop() -> framework::Async<void>;
+    auto makeHeartbeat() const -> peers::messages::Heartbeat;
+    auto sendToAll() -> void;
+    auto refreshRunningElsewhere() -> void;
+    auto catchUp(std::string address, Table table, bool isCertain) -> framework::Async<void>;
+    auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
+    auto answerChanges(const peers::messages::Changes& changes) const -> peers::messages::Response;
+
+    framework::asio::any_io_executor m_executor;
+    const HostSettings& m_settings;
+    std::uint64_t m_incarnation;
+    const framework::IClock& m_clock;
+    framework::Metrics& m_metrics;
+    SharedState& m_state;
+    peers::PeerTable m_table;
+    peers::PeerPort m_port;
+    std::uint64_t m_sequence = 0;
+    bool m_isReady = false;
+    bool m_isLeaving = false;
+    bool m_isStopped = false;
+    bool m_isCatchingUp[2] = {false, false};
+};
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/latencybook.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace laburnummill::serving {
+
+/// Usual time of work by kind, over all backend servers; tells how slow one server is against the others.
+class LatencyBook
+{
+public:
+    /// `milliseconds` against the usual of `kind` (1 is usual); 0 where too little is known yet.
+    auto slowness(std::string_view kind, double milliseconds) -> double;
+
+private:
+    struct Usual
+    {
+        double milliseconds = 0;
+        int samples = 0;
+    };
+
+    std::map<std::string, Usual, std::less<>> m_usual;
+};
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/serving/statusport.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "framework/global/async.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+
+namespace laburnummill::serving {
+
+/// An answer of a status port.
+struct StatusAnswer
+{
+    unsigned status = 200;
+    std::string contentType = "text/plain";
+    std::string body;
+};
+
+/// A small HTTP port that answers questions about this host.
+class StatusPort
+{
+public:
+    using Answerer = std::function<StatusAnswer(std::string_view path)>;
+
+    /// Listens at once; throws boost::system::system_error where that fails.
+    StatusPort(framework::asio::any_io_executor executor, const framework::asio::ip::tcp::endpoint& address, Answerer answerer);
+
+    auto start() -> void;
+    auto stop() -> void;
+
+private:
+    auto acceptLoop() -> framework::Async<void>;
+    auto serve(framework::asio::ip::tcp::socket socket) -> framework::Async<void>;
+
+    framework::asio::any_io_executor m_executor;
+    framework::asio::ip::tcp::acceptor m_acceptor;
+    Answerer m_answerer;
+};
+
+} // namespace laburnummill::serving
--- /dev/null
+++ b/src/store/routedstore.cpp
@@ -0,0 +1,147 @@
+#include "store/routedstore.h"
+
+#include "framework/global/errorcategory.h"
+#include "framework/logging/log.h"
+#include "store/storemessages.h"
+
+#include <algorithm>
+
+namespace laburnummill::store {
+
+namespace {
+
+using framework::AsyncResult;
+using framework::Instant;
+using framework::Milliseconds;
+
+constexpr auto s_firstAvoidance = Milliseconds(250);
+
+/// The followers of changes try the direct way about once a second anyway.
+constexpr auto s_longestAvoidance = Milliseconds(2'000);
+
+/// A peer's own call to the store takes up to its timeout (700 ms) and the way there and back.
+constexpr auto s_relayTimeout = Milliseconds(900);
+
+constexpr auto s_helpersTried = std::size_t{2};
+
+} // namespace
+
+auto DirectWay::succeeded() -> void
+{
+    m_failuresInARow = 0;
+    m_avoidedUntil = {};
+}
+
+auto DirectWay::failed(Instant now) -> void
+{
+    const auto doublings = std::min(m_failuresInARow, 3);
+    ++m_failuresInARow;
+    m_avoidedUntil = now + std::min(s_firstAvoidance * (1 << doublings), s_longestAvoidance);
+}
+
+RoutedStore::RoutedStore(IStore& direct, peers::IPeers& peers, const framework::IClock& clock)
+    : m_direct(direct)
+    , m_peers(peers)
+    , m_clock(clock)
+{}
+
+auto RoutedStore::transact(Transaction transaction) -> AsyncResult<TransactionReply>
+{
+    auto isUnknown = false;
+    auto error = std::error_code(StoreError::Unavailable);
+    if (m_way.isUsable(m_clock.now())) {
+        auto reply = co_await m_direct.transact(transaction);
+        note(reply ? std::error_code() : reply.error());
+        if (reply) {
+            co_return reply;
+        }
+        error = reply.error();
+        isUnknown = error == StoreError::OutcomeUnknown;
+    }
+    auto request = peers::messages::Request();
+    *request.mutable_transaction() = toMessage(transaction);
+    const auto response = co_await relay(std::move(request));
+    if (!response) {
+        m_isReachable = false;
+        co_return isUnknown ? std::error_code(StoreError::OutcomeUnknown) : response.error();
+    }
+    auto reply = TransactionReply{.isApplied = response.value().is_applied(), .version = response.value().version(), .currentRows = {}};
+    for (const auto& row : response.value().rows()) {
+        reply.currentRows.push_back(fromMessage(row));
+    }
+    if (!reply.isApplied && isUnknown && isOwnWrite(transaction, reply)) {
+        reply.isApplied = true; // The first try had taken effect.
+        reply.version = reply.currentRows.front().version;
+    }
+    co_return reply;
+}
+
+auto RoutedStore::list(ListRequest request) -> AsyncResult<RowPage>
+{
+    if (m_way.isUsable(m_clock.now())) {
+        auto page = co_await m_direct.list(request);
+        note(page ? std::error_code() : page.error());
+        if (page) {
+            co_return page;
+        }
+    }
+    auto message = peers::messages::Request();
+    *message.mutable_listing() = toMessage(request);
+    const auto response = co_await relay(std::move(message));
+    if (!response) {
+        m_isReachable = false;
+        co_return response.error();
+    }
+    auto page = RowPage{.rows = {}, .version = response.value().version(), .hasMore = response.value().has_more()};
+    for (const auto& row : response.value().rows()) {
+        page.rows.push_back(fromMessage(row));
+    }
+    co_return page;
+}
+
+auto RoutedStore::note(const std::error_code& error) -> void
+{
+    if (!error) {
+        m_way.succeeded();
+        m_isReachable = true;
+        return;
+    }
+    if (m_way.isSound()) {
+        framework::logEvent(framework::LogLevel::Warning, "store", "direct_way_lost", {{"reason", framework::codeOf(error)}});
+    }
+    m_way.failed(m_clock.now());
+}
+
+auto RoutedStore::relay(peers::messages::Request request) -> AsyncResult<peers::messages::Response>
+{
+    auto error = std::error_code(StoreError::Unavailable);
+    auto helpers = m_peers.storeHelpers();
+    helpers.resize(std::min(helpers.size(), s_helpersTried));
+    for (const auto& helper : helpers) {
+        auto response = co_await m_peers.call(helper, request, s_relayTimeout);
+        if (!response) {
+            error = StoreError::OutcomeUnknown;
+            continue;
+        }
+        if (response.value().store_error() == 0) {
+            ++m_relayedCalls;
+            m_isReachable = true;
+            co_return response;
+        }
+        error = static_cast<StoreError>(response.value().store_error());
+    }
+    co_return error;
+}
+
+auto isOwnWrite(const Transaction& transaction, const TransactionReply& reply) -> bool
+{
+    if (transaction.puts.empty() || reply.currentRows.empty()) {
+        return false;
+    }
+    return std::ranges::all_of(transaction.puts, [&reply](const Put& put) {
+        return std::ranges::any_of(reply.currentRows,
+                                   [&put](const Row& row) { return row.address == put.address && row.value == put.value; });
+    });
+}
+
+} // namespace laburnummill::store
--- /dev/null
+++ b/src/store/routedstore.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "peers/ipeers.h"
+#include "store/istore.h"
+
+namespace laburnummill::store {
+
+/// When to use the direct way to the store, and when another host's.
+class DirectWay
+{
+public:
+    auto succeeded() -> void;
+
+    /// Leaves the way alone for a while that grows with each failure in a row.
+    auto failed(framework::Instant now) -> void;
+
+    auto isUsable(framework::Instant now) const -> bool { return now >= m_avoidedUntil; }
+
+    /// Whether the last call on it was answered.
+    auto isSound() const -> bool { return m_failuresInARow == 0; }
+
+private:
+    int m_failuresInARow = 0;
+    framework::Instant m_avoidedUntil{};
+};
+
+/// The store by the direct way where that works, else by way of a peer that reaches it.
+class RoutedStore final : public IStore
+{
+public:
+    RoutedStore(IStore& direct, peers::IPeers& peers, const framework::IClock& clock);
+
+    auto transact(Transaction transaction) -> framework::AsyncResult<TransactionReply> override;
+    auto list(ListRequest request) -> framework::AsyncResult<RowPage> override;
+
+    auto directWay() -> DirectWay& { return m_way; }
+
+    /// Whether the last call succeeded on either way.
+    auto isReachable() const -> bool { return m_isReachable; }
+
+    /// Calls answered by way of a peer.
+    auto relayedCalls() const -> std::uint64_t { return m_relayedCalls; }
+
+private:
+    auto note(const std::error_code& error) -> void;
+    auto relay(peers::messages::Request request) -> framework::AsyncResult<peers::messages::Response>;
+
+    IStore& m_direct;
+    peers::IPeers& m_peers;
+    const framework::IClock& m_clock;
+    DirectWay m_way;
+    bool m_isReachable = true;
+    std::uint64_t m_relayedCalls = 0;
+};
+
+/// Whether rows found in place of the expected ones are just what `transaction` would have written.
+auto isOwnWrite(const Transaction& transaction, const TransactionReply& reply) -> bool;
+
+} // namespace laburnummill::store
