--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -26,8 +26,8 @@
     /// Hosts that reach the store themselves, those of the own data centre first.
     virtual auto storeHelpers() const -> std::vector<std::string> = 0;
 
-    /// Whether some host may hold turns that the store lacks: it said so, or it was not heard lately.
-    virtual auto mayHoldUnwritten() const -> bool = 0;
+    /// Whether a host that may be serving is not heard now.
+    virtual auto isAnyoneSilent() const -> bool = 0;
 
     /// Whether the host at `address` is heard and has written all of its turns.
     virtual auto hasWrittenAll(std::string_view address) const -> bool = 0;
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -1,6 +1,5 @@
 #include "programs/budgetledger.h"
 
-#include "framework/global/digest.h"
 #include "framework/logging/log.h"
 #include "peers/askall.h"
 
@@ -15,12 +14,8 @@
 
 namespace asio = boost::asio;
 using framework::Async;
-using framework::Instant;
 using framework::Milliseconds;
 
-constexpr auto s_format = std::uint32_t{1};
-constexpr auto s_partitions = std::size_t{8};
-
 /// The store answers in about 10 ms; beyond this the other hosts are asked.
 constexpr auto s_storePatience = Milliseconds(60);
 constexpr auto s_queryTimeout = Milliseconds(200);
@@ -29,204 +24,156 @@
 constexpr auto s_settlePatience = Milliseconds(900);
 constexpr auto s_settlePoll = Milliseconds(100);
 
-/// Programs pause for tools and sub-agents for less than this.
-constexpr auto s_idleProgram = Milliseconds(60'000);
-
 constexpr auto s_conflictTries = 6;
 
-auto rowOf(const ProgramKey& key) -> store::RowAddress
-{
-    const auto name = key.account + "/" + key.program;
-    return {.table = "programs", .partition = "p" + std::to_string(framework::hash64(name) % s_partitions), .key = name};
-}
-
-auto tokensOf(const records::ProgramRecord& row, std::string_view host, std::uint64_t incarnation) -> std::uint64_t
-{
-    const auto found = std::ranges::find_if(
-        row.holdings(), [&](const auto& holding) { return holding.host() == host && holding.incarnation() == incarnation; });
-    return found == row.holdings().end() ? 0 : found->tokens();
-}
+/// A turn on lent tokens runs with this part of its most: the usual turn generates a quarter.
+constexpr auto s_leastLentShare = 0.5;
 
 } // namespace
 
-auto TokenHolding::reserve(std::uint64_t tokens) -> bool
-{
-    if (free() < tokens) {
-        return false;
-    }
-    m_reserved += tokens;
-    return true;
-}
-
-auto TokenHolding::settle(std::uint64_t reserved, std::uint64_t used) -> void
-{
-    m_reserved -= std::min(reserved, m_reserved);
-    m_spent += used;
-    m_granted = std::max(m_granted, m_spent + m_reserved);
-}
-
-auto TokenHolding::release(std::uint64_t tokens) -> std::uint64_t
-{
-    const auto given = std::min(tokens, free());
-    m_granted -= given;
-    return given;
-}
-
-BudgetLedger::BudgetLedger(asio::any_io_executor executor, store::IStore& store, peers::IPeers& peers, const framework::IClock& clock,
-                           std::string host, std::uint64_t incarnation)
+BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
+                           const framework::IClock& clock)
     : m_executor(std::move(executor))
+    , m_table(table)
     , m_store(store)
     , m_peers(peers)
     , m_clock(clock)
-    , m_host(std::move(host))
-    , m_incarnation(incarnation)
 {}
 
-auto BudgetLedger::reserve(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<BudgetOutcome>
+auto BudgetLedger::reserve(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<Reservation>
 {
     if (most > budget) {
-        co_return BudgetOutcome::Spent;
+        co_return Reservation{.outcome = BudgetOutcome::Spent, .tokens = 0};
     }
-    const auto program = this->program(key);
+    const auto program = m_table.program(key);
     program->budget = budget;
+    program->wanted += most;
     const auto deadline = m_clock.now() + s_settlePatience;
-    auto outcome = BudgetOutcome::Unsure;
-    do {
+    auto reservation = Reservation();
+    while (true) {
         if (program->holding.reserve(most)) {
-            co_return BudgetOutcome::Reserved;
+            reservation = {.outcome = BudgetOutcome::Reserved, .tokens = most};
+            break;
         }
         startRefill(key, program, most);
-        if (program->isRefilling && !m_isStoreSlow) {
+        if (!m_isStoreSlow) {
             co_await program->changed.wait(s_storePatience);
         }
         if (program->holding.reserve(most)) {
-            co_return BudgetOutcome::Reserved;
+            reservation = {.outcome = BudgetOutcome::Reserved, .tokens = most};
+            break;
         }
-        if (program->isRefilling || program->lastRefill == Refill::Failed) {
-            outcome = BudgetOutcome::Unsure;
-            if (co_await borrow(key, program, most, isFirstTurn)) {
-                continue;
-            }
-        } else if (program->lastRefill == Refill::Exhausted) {
-            outcome = BudgetOutcome::Spent;
-            const auto underWay = co_await recall(key, program, most);
-            if (program->holding.free() < most && underWay + program->holding.reserved() == 0) {
-                co_return outcome;
-            }
+        const auto refill = m_refills[key];
+        const auto isStoreAway = refill.isRunning || refill.last == Refill::Failed;
+        const auto isSomeUnderWay = co_await askOthers(key, program, most) || program->holding.reserved() > 0;
+        if (program->holding.free() >= most) {
+            continue;
         }
-        if (program->holding.free() < most) {
-            co_await program->changed.wait(s_settlePoll);
+        if (isStoreAway) {
+            reservation = lend(key, *program, most, isFirstTurn, isSomeUnderWay);
+        } else {
+            reservation.outcome = refill.last == Refill::Exhausted ? BudgetOutcome::Spent : BudgetOutcome::Unsure;
         }
-    } while (m_clock.now() < deadline);
-    co_return outcome;
+        if (reservation.outcome == BudgetOutcome::Reserved || (reservation.outcome == BudgetOutcome::Spent && !isSomeUnderWay) ||
+            m_clock.now() >= deadline) {
+            break;
+        }
+        co_await program->changed.wait(s_settlePoll);
+    }
+    program->wanted -= most;
+    co_return reservation;
 }
 
-auto BudgetLedger::settle(const ProgramKey& key, std::uint64_t most, std::uint64_t used) -> void
+auto BudgetLedger::settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> void
 {
-    const auto program = this->program(key);
-    program->holding.settle(most, used);
-    if (used > 0 && program->holding.free() < most) {
-        startRefill(key, program, most);
-    }
+    const auto program = m_table.program(key);
+    program->holding.settle(reserved, used);
     program->changed.notify();
 }
 
-auto BudgetLedger::giveAway(const ProgramKey& key, std::uint64_t most, bool mayBorrow) -> std::uint64_t
+auto BudgetLedger::giveAway(const ProgramKey& key, std::uint64_t most) -> std::uint64_t
 {
-    const auto found = m_programs.find(key);
-    if (found == m_programs.end()) {
-        return 0;
-    }
-    auto& program = *found->second;
-    if (mayBorrow && program.holding.free() < most) {
-        borrowHere(program, most - program.holding.free());
-    }
-    return program.holding.release(most);
+    const auto program = m_table.find(key);
+    return program ? program->holding.give(most) : 0;
 }
 
 auto BudgetLedger::reserved(const ProgramKey& key) const -> std::uint64_t
 {
-    const auto found = m_programs.find(key);
-    return found == m_programs.end() ? 0 : found->second->holding.reserved();
+    const auto program = m_table.find(key);
+    return program ? program->holding.reserved() : 0;
 }
 
 auto BudgetLedger::knows(const ProgramKey& key) const -> bool
 {
-    const auto found = m_programs.find(key);
-    return found != m_programs.end() && (found->second->isRowKnown || found->second->holding.granted() > 0);
-}
-
-auto BudgetLedger::forget() -> void
-{
-    std::erase_if(m_programs, [this](const auto& entry) {
-        const auto& program = *entry.second;
-        return program.usedAt + s_idleProgram < m_clock.now() && program.holding.reserved() == 0 && !program.isRefilling;
-    });
-}
-
-auto BudgetLedger::program(const ProgramKey& key) -> ProgramPtr
-{
-    auto& found = m_programs[key];
-    if (!found) {
-        found = std::make_shared<Program>(m_executor);
-    }
-    found->usedAt = m_clock.now();
-    return found;
+    const auto program = m_table.find(key);
+    return program && (program->isRowKnown || program->holding.recorded() > 0);
 }
 
 auto BudgetLedger::startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void
 {
-    if (program->isRefilling) {
+    if (m_refills[key].isRunning) {
         return;
     }
-    program->isRefilling = true;
+    m_refills[key].isRunning = true;
     asio::co_spawn(
         m_executor,
         [this, key, program, most]() -> Async<void> {
-            const auto free = program->holding.free();
             const auto began = m_clock.now();
-            program->lastRefill = co_await refill(key, program, most - std::min(free, most), most);
-            m_isStoreSlow = program->lastRefill == Refill::Failed || m_clock.now() - began > s_storePatience;
-            program->isRefilling = false;
+            const auto outcome = co_await refill(key, program, most);
+            m_isStoreSlow = outcome == Refill::Failed || m_clock.now() - began > s_storePatience;
+            m_refills[key] = {.isRunning = false, .last = outcome};
+            if (outcome == Refill::Done) {
+                m_refills.erase(key);
+            }
             program->changed.notify();
         },
         asio::detached);
 }
 
-auto BudgetLedger::refill(ProgramKey key, ProgramPtr program, std::uint64_t need, std::uint64_t ahead) -> Async<Refill>
+auto BudgetLedger::refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> Async<Refill>
 {
     auto isFresh = false;
     for (auto attempt = 0; attempt < s_conflictTries; ++attempt) {
-        const auto taken = program->row.granted() + program->unrecorded;
-        const auto left = program->budget - std::min(program->budget, taken);
-        if (left < need) {
-            if (isFresh || !co_await readRow(key, program)) {
-                co_return isFresh ? Refill::Exhausted : Refill::Failed;
+        if (program->isRowBeingWritten) {
+            co_await program->changed.wait(s_storePatience);
+            continue;
+        }
+        const auto free = program->holding.free();
+        if (free >= most) {
+            co_return Refill::Done;
+        }
+        const auto left = m_table.left(*program);
+        if (left < most - free) {
+            if (isFresh) {
+                co_return Refill::Exhausted;
+            }
+            isFresh = co_await readRow(key, program);
+            if (!isFresh) {
+                co_return Refill::Failed;
             }
-            isFresh = true;
             continue;
         }
-        const auto want = std::min(left, need + ahead);
-        auto row = grownRow(key, *program, want + program->unrecorded);
-        const auto recorded = program->unrecorded;
+        // One turn more than what waits, so that the next one need not ask.
+        const auto want = std::min(left, std::max(program->wanted, most) - std::min(free, most) + most);
+        auto change = m_table.change(key, *program, want);
         auto transaction = store::Transaction();
-        transaction.conditions.push_back({.address = rowOf(key), .version = program->rowVersion});
-        transaction.puts.push_back({.address = rowOf(key), .value = row.SerializeAsString()});
+        transaction.conditions.push_back(change.condition);
+        transaction.puts.push_back(change.put);
+        program->isRowBeingWritten = true;
         const auto reply = co_await m_store.transact(std::move(transaction));
+        program->isRowBeingWritten = false;
         if (!reply) {
-            program->doubtfulGrant = reply.error() == store::StoreError::OutcomeUnknown ? want + recorded : 0;
+            if (reply.error() == store::StoreError::OutcomeUnknown) {
+                m_table.doubtful(*program, change);
+            }
             co_return Refill::Failed;
         }
         if (reply.value().isApplied) {
-            program->row = std::move(row);
-            program->rowVersion = reply.value().version;
-            program->isRowKnown = true;
-            program->unrecorded -= recorded;
-            program->holding.grant(want);
+            m_table.applied(*program, std::move(change), reply.value().version);
             co_return Refill::Done;
         }
         const auto& rows = reply.value().currentRows;
-        takeRow(program, rows.empty() ? nullptr : &rows.front());
+        m_table.conflicted(*program, rows.empty() ? nullptr : &rows.front());
         isFresh = true;
     }
     co_return Refill::Failed;
@@ -234,131 +181,53 @@
 
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
-    const auto address = rowOf(key);
+    const auto address = ProgramTable::rowOf(key);
     const auto page = co_await m_store.list(
         {.table = address.table, .partition = address.partition, .from = address.key, .to = address.key + '!', .limit = 1});
     if (!page) {
         co_return false;
     }
-    takeRow(program, page.value().rows.empty() ? nullptr : &page.value().rows.front());
+    m_table.conflicted(*program, page.value().rows.empty() ? nullptr : &page.value().rows.front());
     co_return true;
 }
 
-auto BudgetLedger::takeRow(const ProgramPtr& program, const store::Row* row) -> void
-{
-    auto record = records::ProgramRecord();
-    if (row != nullptr && !row->isRemoved && !record.ParseFromString(row->value)) {
-        framework::logEvent(framework::LogLevel::Error, "programs", "program_row_unreadable", {{"row", row->address.key}});
-    }
-    const auto before = tokensOf(program->row, m_host, m_incarnation);
-    const auto now = tokensOf(record, m_host, m_incarnation);
-    if (program->doubtfulGrant > 0 && now >= before + program->doubtfulGrant) {
-        // The write whose answer was lost had taken effect.
-        const auto recorded = std::min(program->unrecorded, program->doubtfulGrant);
-        program->unrecorded -= recorded;
-        program->holding.grant(program->doubtfulGrant - recorded);
-    }
-    program->doubtfulGrant = 0;
-    program->isForgotten = false;
-    program->row = std::move(record);
-    program->rowVersion = row == nullptr || row->isRemoved ? store::s_absentRow : row->version;
-    program->isRowKnown = true;
-}
-
-auto BudgetLedger::grownRow(const ProgramKey& key, const Program& program, std::uint64_t want) const -> records::ProgramRecord
-{
-    auto row = program.row;
-    row.set_format(s_format);
-    row.set_account(key.account);
-    row.set_program(key.program);
-    row.set_budget(program.budget);
-    row.set_granted(row.granted() + want);
-    for (auto& holding : *row.mutable_holdings()) {
-        if (holding.host() == m_host && holding.incarnation() == m_incarnation) {
-            holding.set_tokens(holding.tokens() + want);
-            return row;
-        }
-    }
-    auto* holding = row.add_holdings();
-    holding->set_host(m_host);
-    holding->set_incarnation(m_incarnation);
-    holding->set_tokens(want);
-    return row;
-}
-
-auto BudgetLedger::recall(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<std::uint64_t>
+auto BudgetLedger::askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<bool>
 {
-    const auto isHeldElsewhere = std::ranges::any_of(
-        program->row.holdings(), [this](const auto& holding) { return holding.host() != m_host; });
-    if (!isHeldElsewhere) {
-        co_return 0;
-    }
-    auto request = peers::messages::Request();
-    request.mutable_grant_query()->set_account(key.account);
-    request.mutable_grant_query()->set_program(key.program);
-    request.mutable_grant_query()->set_tokens(need);
-    const auto answers =
-        co_await peers::askAll(m_peers, m_peers.everyone(), std::move(request), s_queryTimeout, [](const auto&) { return false; });
-    auto underWay = std::uint64_t{0};
-    for (const auto& response : answers.responses) {
-        program->holding.grant(response.granted());
-        underWay += response.reserved();
+    if (program->isRowKnown && !m_table.isHeldElsewhere(*program)) {
+        co_return false;
     }
-    co_return underWay;
-}
-
-auto BudgetLedger::borrow(ProgramKey key, ProgramPtr program, std::uint64_t most, bool isFirstTurn) -> Async<bool>
-{
     auto request = peers::messages::Request();
     auto& query = *request.mutable_grant_query();
     query.set_account(key.account);
     query.set_program(key.program);
-    query.set_tokens(most);
-    query.set_budget(program->budget);
-    const auto everyone = m_peers.everyone();
-    const auto answers = co_await peers::askAll(m_peers, everyone, request, s_queryTimeout, [](const auto&) { return false; });
-    auto knower = std::string();
+    query.set_tokens(need);
+    const auto answers =
+        co_await peers::askAll(m_peers, m_peers.everyone(), std::move(request), s_queryTimeout, [](const auto&) { return false; });
+    auto isUnderWay = false;
     for (const auto& response : answers.responses) {
-        program->holding.grant(response.granted());
-        if (response.knows_program() && (knower.empty() || response.address() < knower)) {
-            knower = response.address();
-        }
-    }
-    if (program->holding.free() >= most) {
-        co_return true;
-    }
-    const auto isKnownHere = program->isRowKnown || program->unrecorded > 0;
-    if (knower.empty() || (isKnownHere && m_peers.ownAddress() < knower)) {
-        // NOTE A program that nobody knows any more gets one turn: a budget allows for one turn beyond it.
-        const auto isForgotten = !isKnownHere && !isFirstTurn;
-        if (program->isForgotten) {
-            co_return false;
-        }
-        if (isForgotten) {
-            program->isForgotten = true;
-            program->unrecorded += most;
-            program->holding.grant(most);
-            co_return true;
-        }
-        co_return borrowHere(*program, most - program->holding.free());
-    }
-    query.set_may_borrow(true);
-    const auto response = co_await m_peers.call(knower, std::move(request), s_queryTimeout);
-    if (response) {
-        program->holding.grant(response.value().granted());
+        program->holding.receive(response.granted());
+        isUnderWay = isUnderWay || response.reserved() > 0;
     }
-    co_return program->holding.free() >= most;
+    co_return isUnderWay;
 }
 
-auto BudgetLedger::borrowHere(Program& program, std::uint64_t need) -> bool
+auto BudgetLedger::lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere)
+    -> Reservation
 {
-    const auto taken = program.row.granted() + program.unrecorded + program.doubtfulGrant;
-    if (program.budget < taken + need) {
-        return false;
+    const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && !(isKnownElsewhere && !program.isRowKnown);
+    const auto room = std::min(m_table.left(program), most - std::min(most, program.lent));
+    const auto free = program.holding.free();
+    const auto tokens = std::min(most, free + room);
+    if (!mayLend || static_cast<double>(tokens) < s_leastLentShare * static_cast<double>(most)) {
+        return {.outcome = BudgetOutcome::Unsure, .tokens = 0};
     }
-    program.unrecorded += need;
-    program.holding.grant(need);
-    return true;
+    const auto lent = tokens - std::min(tokens, free);
+    program.lent += lent;
+    program.holding.grant(lent);
+    program.holding.reserve(tokens);
+    framework::logEvent(framework::LogLevel::Warning, "programs", "tokens_lent",
+                        {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.lent}, {"isFirstTurn", isFirstTurn}});
+    return {.outcome = BudgetOutcome::Reserved, .tokens = tokens};
 }
 
 } // namespace laburnummill::programs
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -1,19 +1,13 @@
 #pragma once
 
 #include "framework/global/async.h"
-#include "framework/global/iclock.h"
-#include "framework/global/signal.h"
 #include "peers/ipeers.h"
-#include "programs/turnrecords.pb.h"
+#include "programs/programtable.h"
 #include "store/istore.h"
 
-#include <map>
-#include <memory>
-#include <string>
-
 namespace laburnummill::programs {
 
-/// Whether a turn may generate its most tokens within its program's budget.
+/// Whether a turn may run within its program's budget.
 enum class BudgetOutcome
 {
     Reserved,
@@ -21,55 +15,30 @@
     Unsure, ///< it cannot be told now
 };
 
-/// Names a program of a client account.
-struct ProgramKey
+/// Tokens set aside for a turn. While the store is away these may be fewer than the turn's most; it ends where they do.
+struct Reservation
 {
-    std::string account;
-    std::string program;
-
-    auto operator<=>(const ProgramKey&) const = default;
-};
-
-/// The tokens that one host may hand out for one program. Pure counting.
-class TokenHolding
-{
-public:
-    auto granted() const -> std::uint64_t { return m_granted; }
-    auto spent() const -> std::uint64_t { return m_spent; }
-    auto reserved() const -> std::uint64_t { return m_reserved; }
-    auto free() const -> std::uint64_t { return m_granted - m_spent - m_reserved; }
-
-    auto grant(std::uint64_t tokens) -> void { m_granted += tokens; }
-    auto reserve(std::uint64_t tokens) -> bool;
-
-    /// Ends a reservation of `reserved` tokens of which `used` were handed out.
-    auto settle(std::uint64_t reserved, std::uint64_t used) -> void;
-
-    /// Gives up what is free, at most `tokens`; returns how much that was.
-    auto release(std::uint64_t tokens) -> std::uint64_t;
-
-private:
-    std::uint64_t m_granted = 0;
-    std::uint64_t m_spent = 0;
-    std::uint64_t m_reserved = 0;
+    BudgetOutcome outcome = BudgetOutcome::Unsure;
+    std::uint64_t tokens = 0;
 };
 
 /// Keeps programs within their budgets over all hosts. A host takes tokens from the program's row ahead of what it
-/// hands out, so that what was handed out is never more than what the row says, whoever dies.
+/// hands out, so that what was handed out is never more than what the row says, whoever dies. While the store is away
+/// at most one turn's tokens are lent without the row: so much a budget allows beyond it, should all hosts die then.
 class BudgetLedger
 {
 public:
-    BudgetLedger(framework::asio::any_io_executor executor, store::IStore& store, peers::IPeers& peers, const framework::IClock& clock,
-                 std::string host, std::uint64_t incarnation);
+    BudgetLedger(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
+                 const framework::IClock& clock);
 
     /// Reserves the `most` tokens that a turn may generate. `isFirstTurn`: the program has no turn before it.
-    auto reserve(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<BudgetOutcome>;
+    auto reserve(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<Reservation>;
 
-    /// Ends a reservation; takes the next tokens ahead where too few are left for another turn.
-    auto settle(const ProgramKey& key, std::uint64_t most, std::uint64_t used) -> void;
+    /// Ends a reservation of which `used` tokens were handed out.
+    auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> void;
 
-    /// Gives free tokens of a program to another host; `mayBorrow` takes more from the rest of the budget.
-    auto giveAway(const ProgramKey& key, std::uint64_t most, bool mayBorrow) -> std::uint64_t;
+    /// Gives free tokens of a program to another host.
+    auto giveAway(const ProgramKey& key, std::uint64_t most) -> std::uint64_t;
 
     /// Tokens of turns under way here.
     auto reserved(const ProgramKey& key) const -> std::uint64_t;
@@ -77,11 +46,6 @@
     /// Whether this host has handed out tokens of the program, or has read its row.
     auto knows(const ProgramKey& key) const -> bool;
 
-    /// Forgets programs that were not used for long.
-    auto forget() -> void;
-
-    auto programs() const -> std::size_t { return m_programs.size(); }
-
 private:
     enum class Refill
     {
@@ -90,44 +54,24 @@
         Failed,    ///< the store did not say
     };
 
-    struct Program
+    struct RefillState
     {
-        explicit Program(framework::asio::any_io_executor executor)
-            : changed(std::move(executor))
-        {}
-
-        std::uint64_t budget = 0;
-        TokenHolding holding;
-        records::ProgramRecord row; ///< as read or written last
-        std::uint64_t rowVersion = 0;
-        bool isRowKnown = false;
-        std::uint64_t unrecorded = 0;     ///< borrowed: granted here and not yet in the row
-        std::uint64_t doubtfulGrant = 0;  ///< of a write whose answer was lost
-        bool isForgotten = false;         ///< nobody knows what was spent before; no more is lent without the row
-        bool isRefilling = false;
-        Refill lastRefill = Refill::Done;
-        framework::Instant usedAt{};
-        framework::Signal changed;
+        bool isRunning = false;
+        Refill last = Refill::Done;
     };
-    using ProgramPtr = std::shared_ptr<Program>;
 
-    auto program(const ProgramKey& key) -> ProgramPtr;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
-    auto refill(ProgramKey key, ProgramPtr program, std::uint64_t need, std::uint64_t ahead) -> framework::Async<Refill>;
+    auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
-    auto takeRow(const ProgramPtr& program, const store::Row* row) -> void;
-    auto grownRow(const ProgramKey& key, const Program& program, std::uint64_t want) const -> records::ProgramRecord;
-    auto recall(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<std::uint64_t>;
-    auto borrow(ProgramKey key, ProgramPtr program, std::uint64_t most, bool isFirstTurn) -> framework::Async<bool>;
-    auto borrowHere(Program& program, std::uint64_t need) -> bool;
+    auto askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<bool>;
+    auto lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere) -> Reservation;
 
     framework::asio::any_io_executor m_executor;
+    ProgramTable& m_table;
     store::IStore& m_store;
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
-    std::string m_host;
-    std::uint64_t m_incarnation;
-    std::map<ProgramKey, ProgramPtr> m_programs;
+    std::map<ProgramKey, RefillState> m_refills;
     bool m_isStoreSlow = false;
 };
 
--- /dev/null
+++ b/src/programs/programtable.cpp
@@ -0,0 +1,155 @@
+#include "programs/programtable.h"
+
+#include "framework/logging/log.h"
+
+#include <algorithm>
+
+namespace laburnummill::programs {
+
+namespace {
+
+using framework::Milliseconds;
+
+constexpr auto s_format = std::uint32_t{1};
+
+/// Programs pause for tools and sub-agents for less than this.
+constexpr auto s_idleProgram = Milliseconds(60'000);
+
+} // namespace
+
+ProgramTable::ProgramTable(framework::asio::any_io_executor executor, const framework::IClock& clock, std::string host,
+                           std::uint64_t incarnation)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_host(std::move(host))
+    , m_incarnation(incarnation)
+{}
+
+auto ProgramTable::program(const ProgramKey& key) -> ProgramPtr
+{
+    auto& found = m_programs[key];
+    if (!found) {
+        found = std::make_shared<Program>(m_executor);
+    }
+    found->usedAt = m_clock.now();
+    return found;
+}
+
+auto ProgramTable::find(const ProgramKey& key) const -> ProgramPtr
+{
+    const auto found = m_programs.find(key);
+    return found == m_programs.end() ? nullptr : found->second;
+}
+
+auto ProgramTable::left(const Program& program) const -> std::uint64_t
+{
+    auto taken = std::uint64_t{0};
+    auto own = program.holding.recorded();
+    for (const auto& holding : program.row.holdings()) {
+        if (isOwn(holding)) {
+            own = std::max<std::uint64_t>(own, holding.granted());
+        } else {
+            taken += holding.granted();
+        }
+    }
+    own = std::max(own, program.doubtfulEntry);
+    return program.budget - std::min(program.budget, taken + own);
+}
+
+auto ProgramTable::change(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange
+{
+    auto row = program.row;
+    row.set_format(s_format);
+    row.set_account(key.account);
+    row.set_program(key.program);
+    row.set_budget(program.budget);
+    auto* own = static_cast<records::Holding*>(nullptr);
+    for (auto& holding : *row.mutable_holdings()) {
+        own = isOwn(holding) ? &holding : own;
+    }
+    if (own == nullptr) {
+        own = row.add_holdings();
+        own->set_host(m_host);
+        own->set_incarnation(m_incarnation);
+    }
+    own->set_granted(std::max<std::uint64_t>(own->granted(), program.holding.recorded() + tokens));
+    own->set_spent(program.holding.spent());
+    const auto address = rowOf(key);
+    return {.condition = {.address = address, .version = program.rowVersion},
+            .put = {.address = address, .value = row.SerializeAsString()},
+            .row = std::move(row),
+            .tokens = tokens};
+}
+
+auto ProgramTable::applied(Program& program, RowChange change, std::uint64_t version) const -> void
+{
+    program.row = std::move(change.row);
+    program.rowVersion = version;
+    program.isRowKnown = true;
+    program.doubtfulEntry = 0;
+    program.holding.grant(change.tokens);
+    // What was lent while the write was under way is not in it.
+    program.lent = program.holding.recorded() - std::min(program.holding.recorded(), ownEntry(program));
+    program.changed.notify();
+}
+
+auto ProgramTable::conflicted(Program& program, const store::Row* row) const -> void
+{
+    auto record = records::ProgramRecord();
+    if (row != nullptr && !row->isRemoved && !record.ParseFromString(row->value)) {
+        framework::logEvent(framework::LogLevel::Error, "programs", "program_row_unreadable", {{"row", row->address.key}});
+    }
+    for (const auto& holding : record.holdings()) {
+        const auto unknown = isOwn(holding) ? holding.granted() - std::min(holding.granted(), program.holding.recorded()) : 0;
+        if (isOwn(holding) && program.doubtfulEntry > 0 && holding.granted() >= program.doubtfulEntry) {
+            program.holding.grant(unknown); // The write whose answer was lost had taken effect.
+        } else {
+            program.holding.writeOff(unknown); // This host had forgotten the program.
+        }
+    }
+    program.doubtfulEntry = 0;
+    program.row = std::move(record);
+    program.lent = program.holding.recorded() - std::min(program.holding.recorded(), ownEntry(program));
+    program.rowVersion = row == nullptr || row->isRemoved ? store::s_absentRow : row->version;
+    program.isRowKnown = true;
+}
+
+auto ProgramTable::doubtful(Program& program, const RowChange& change) const -> void
+{
+    for (const auto& holding : change.row.holdings()) {
+        if (isOwn(holding)) {
+            program.doubtfulEntry = std::max<std::uint64_t>(program.doubtfulEntry, holding.granted());
+        }
+    }
+}
+
+auto ProgramTable::ownEntry(const Program& program) const -> std::uint64_t
+{
+    const auto found = std::ranges::find_if(program.row.holdings(), [this](const auto& holding) { return isOwn(holding); });
+    return found == program.row.holdings().end() ? 0 : found->granted();
+}
+
+auto ProgramTable::isHeldElsewhere(const Program& program) const -> bool
+{
+    return std::ranges::any_of(program.row.holdings(), [this](const auto& holding) { return !isOwn(holding); });
+}
+
+auto ProgramTable::forget() -> void
+{
+    std::erase_if(m_programs, [this](const auto& entry) {
+        const auto& program = *entry.second;
+        return program.usedAt + s_idleProgram < m_clock.now() && program.holding.reserved() == 0 && !program.isRowBeingWritten;
+    });
+}
+
+auto ProgramTable::rowOf(const ProgramKey& key) -> store::RowAddress
+{
+    return {.table = "programs", .partition = partitionName(partitionOf(key)), .key = key.account + "/" + key.program};
+}
+
+auto ProgramTable::isOwn(const records::Holding& holding) const -> bool
+{
+    return holding.host() == m_host && holding.incarnation() == m_incarnation;
+}
+
+} // namespace laburnummill::programs
--- a/src/programs/turn.cpp
+++ b/src/programs/turn.cpp
@@ -1,5 +1,6 @@
 #include "programs/turn.h"
 
+#include "framework/global/digest.h"
 #include "programs/turnrecords.pb.h"
 
 namespace laburnummill::programs {
@@ -19,6 +20,16 @@
 
 } // namespace
 
+auto partitionOf(const ProgramKey& key) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(framework::hash64(key.program, framework::hash64(key.account)) % s_partitions);
+}
+
+auto partitionName(std::uint32_t partition) -> std::string
+{
+    return "programs-" + std::to_string(partition);
+}
+
 auto encodeTurn(const Turn& turn) -> std::string
 {
     auto record = records::TurnRecord();
@@ -27,7 +38,8 @@
     record.set_account(turn.account);
     record.set_program(turn.program);
     for (const auto& ancestor : turn.ancestors) {
-        record.add_ancestors(ancestor);
+        record.add_ancestors(ancestor.id);
+        record.add_ancestor_partitions(ancestor.partition);
     }
     record.set_input(turn.input);
     record.set_output(turn.output);
@@ -39,14 +51,17 @@
 auto decodeTurn(std::string_view bytes) -> TurnPtr
 {
     auto record = records::TurnRecord();
-    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || record.format() != s_format || record.id().empty()) {
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || record.format() != s_format || record.id().empty() ||
+        record.ancestors_size() != record.ancestor_partitions_size()) {
         return nullptr;
     }
     auto turn = std::make_shared<Turn>();
     turn->id = record.id();
     turn->account = record.account();
     turn->program = record.program();
-    turn->ancestors.assign(record.ancestors().begin(), record.ancestors().end());
+    for (auto index = 0; index < record.ancestors_size() && index < record.ancestor_partitions_size(); ++index) {
+        turn->ancestors.push_back({.id = record.ancestors(index), .partition = record.ancestor_partitions(index)});
+    }
     turn->input = record.input();
     turn->output = record.output();
     turn->tokens = static_cast<int>(record.tokens());
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -14,13 +14,40 @@
 
 namespace laburnummill::programs {
 
+/// Partitions of the store over which turns and programs are spread.
+inline constexpr auto s_partitions = std::uint32_t{16};
+
+/// Names a program of a client account.
+struct ProgramKey
+{
+    std::string account;
+    std::string program;
+
+    auto operator<=>(const ProgramKey&) const = default;
+};
+
+/// The partition that holds a program's row and its turns.
+auto partitionOf(const ProgramKey& key) -> std::uint32_t;
+
+/// Name of a partition in the store.
+auto partitionName(std::uint32_t partition) -> std::string;
+
+/// A turn that another one continues.
+struct Ancestor
+{
+    std::string id;
+    std::uint32_t partition = 0;
+
+    auto operator==(const Ancestor&) const -> bool = default;
+};
+
 /// One turn of a program: what came in, what the engine answered, and the turns that it continues.
 struct Turn
 {
     std::string id;
     std::string account;
     std::string program;
-    std::vector<std::string> ancestors; ///< ids, oldest first
+    std::vector<Ancestor> ancestors; ///< oldest first
     std::string input;
     std::string output; ///< data of each event, each followed by a line feed
     int tokens = 0;     ///< generated
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace laburnummill::programs {
 
 namespace {
@@ -32,6 +34,9 @@
 constexpr auto s_keepPatience = Milliseconds(600);
 constexpr auto s_keepTimeout = Milliseconds(250);
 
+/// Tokens taken ahead for a program, in halves of what one turn may generate: enough for some seconds without a store.
+constexpr auto s_halfTurnsAhead = std::uint64_t{3};
+
 constexpr auto s_retryPause = Milliseconds(250);
 constexpr auto s_queryTimeout = Milliseconds(250);
 
@@ -41,14 +46,14 @@
 /// After this a keeper no longer waits for the turn's origin.
 constexpr auto s_originPatience = Milliseconds(3'000);
 
-auto bucketOf(std::string_view id, std::size_t buckets) -> std::size_t
+auto rowOf(const std::string& id, std::uint32_t partition) -> store::RowAddress
 {
-    return framework::hash64(id) % buckets;
+    return {.table = "turns", .partition = partitionName(partition), .key = id};
 }
 
-auto rowOf(const std::string& id, std::size_t buckets) -> store::RowAddress
+auto partitionOf(const Turn& turn) -> std::uint32_t
 {
-    return {.table = "turns", .partition = "t" + std::to_string(bucketOf(id, buckets)), .key = id};
+    return programs::partitionOf(ProgramKey{.account = turn.account, .program = turn.program});
 }
 
 /// The least key above `key` in the order of bytes.
@@ -59,26 +64,29 @@
 
 } // namespace
 
-TurnJournal::TurnJournal(asio::any_io_executor executor, store::IStore& store, peers::IPeers& peers, const framework::IClock& clock,
-                         std::size_t cacheBytes)
+TurnJournal::TurnJournal(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
+                         const framework::IClock& clock, std::size_t cacheBytes)
     : m_executor(std::move(executor))
+    , m_table(table)
     , m_store(store)
     , m_peers(peers)
     , m_clock(clock)
     , m_cache(cacheBytes)
 {}
 
-auto TurnJournal::commit(TurnPtr turn) -> Async<CommitOutcome>
+auto TurnJournal::commit(TurnPtr turn, std::uint64_t most) -> Async<CommitOutcome>
 {
     m_cache.put(turn);
     const auto writing = std::make_shared<Writing>(m_executor);
     writing->turn = turn;
     writing->record = encodeTurn(*turn);
     m_unwrittenBytes += writing->record.size();
-    const auto bucket = bucketOf(turn->id, s_buckets);
-    m_bucketsWriting[bucket].waiting.push_back(writing);
-    if (!m_bucketsWriting[bucket].isBusy) {
-        asio::co_spawn(m_executor, pump(bucket), asio::detached);
+    writing->most = most;
+    const auto partition = partitionOf(*turn);
+    m_buckets[partition].waiting.push_back(writing);
+    if (!m_buckets[partition].isBusy) {
+        m_buckets[partition].isBusy = true;
+        asio::co_spawn(m_executor, pump(partition), asio::detached);
     }
     auto ignored = boost::system::error_code();
     if (!m_isStoreSlow) {
@@ -121,48 +129,98 @@
     writing->changed.cancel();
 }
 
-auto TurnJournal::pump(std::size_t bucket) -> Async<void>
+auto TurnJournal::pump(std::uint32_t partition) -> Async<void>
 {
-    auto& queue = m_bucketsWriting[bucket];
-    queue.isBusy = true;
-    while (!queue.waiting.empty()) {
-        auto transaction = store::Transaction();
-        auto batch = std::vector<WritingPtr>();
-        auto bytes = std::size_t{0};
-        for (const auto& writing : queue.waiting) {
-            bytes += writing->record.size();
-            if (!batch.empty() && (batch.size() >= s_batchTurns || bytes > s_batchBytes)) {
-                break;
-            }
-            batch.push_back(writing);
-            transaction.puts.push_back({.address = rowOf(writing->turn->id, s_buckets), .value = writing->record});
-        }
-        // Rows of turns never change, so that a write whose answer was lost may be sent again.
+    auto& bucket = m_buckets[partition];
+    while (!bucket.waiting.empty()) {
+        auto batch = gather(bucket);
         const auto began = m_clock.now();
-        const auto reply = co_await m_store.transact(std::move(transaction));
-        const auto isStored = reply && reply.value().isApplied;
-        m_isStoreSlow = !isStored || m_clock.now() - began > s_storePatience;
-        if (!isStored) {
-            framework::logEvent(framework::LogLevel::Warning, "programs", "turns_not_stored",
-                                {{"turns", batch.size()}, {"reason", reply ? "refused" : framework::codeOf(reply.error())}});
+        const auto reply = co_await m_store.transact(batch.transaction);
+        m_isStoreSlow = !reply || m_clock.now() - began > s_storePatience;
+        if (!resolve(std::move(batch), reply)) {
             auto pause = asio::steady_timer(m_executor, s_retryPause);
             co_await pause.async_wait(asio::use_awaitable);
-            continue;
         }
-        for (const auto& writing : batch) {
-            queue.waiting.pop_front();
-            writing->isStored = true;
-            m_unwritten -= writing->isHandedOver ? 1 : 0;
-            m_unwrittenBytes -= writing->record.size();
-            writing->changed.cancel();
+    }
+    bucket.isBusy = false;
+}
+
+auto TurnJournal::gather(const Bucket& bucket) -> Batch
+{
+    auto batch = Batch();
+    auto bytes = std::size_t{0};
+    for (const auto& writing : bucket.waiting) {
+        bytes += writing->record.size();
+        if (!batch.writings.empty() && (batch.writings.size() >= s_batchTurns || bytes > s_batchBytes)) {
+            break;
         }
+        batch.writings.push_back(writing);
+        batch.transaction.puts.push_back({.address = rowOf(writing->turn->id, partitionOf(*writing->turn)), .value = writing->record});
+        addProgram(batch, writing);
     }
-    queue.isBusy = false;
+    return batch;
 }
 
-auto TurnJournal::readRow(std::string id) -> AsyncResult<TurnPtr>
+auto TurnJournal::addProgram(Batch& batch, const WritingPtr& writing) -> void
 {
-    const auto address = rowOf(id, s_buckets);
+    const auto key = ProgramKey{.account = writing->turn->account, .program = writing->turn->program};
+    const auto program = m_table.find(key);
+    const auto isLow = program && program->holding.free() * 2 < writing->most * s_halfTurnsAhead;
+    if (!program || program->isRowBeingWritten || !(program->lent > 0 || (program->isRowKnown && isLow))) {
+        return;
+    }
+    // Tokens for the next turns come with this write, so that those need none of their own.
+    const auto want = writing->most * (s_halfTurnsAhead + 2) / 2 - std::min(program->holding.free(), writing->most * (s_halfTurnsAhead + 2) / 2);
+    const auto tokens = std::min(m_table.left(*program), want);
+    if (tokens == 0 && program->lent == 0) {
+        return;
+    }
+    auto change = m_table.change(key, *program, tokens);
+    program->isRowBeingWritten = true;
+    batch.transaction.conditions.push_back(change.condition);
+    batch.transaction.puts.push_back(change.put);
+    batch.programs.emplace_back(program, std::move(change));
+}
+
+auto TurnJournal::resolve(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool
+{
+    const auto isStored = reply && reply.value().isApplied;
+    for (auto& [program, change] : batch.programs) {
+        program->isRowBeingWritten = false;
+        if (isStored) {
+            m_table.applied(*program, std::move(change), reply.value().version);
+        } else if (reply) {
+            const auto& rows = reply.value().currentRows;
+            const auto found = std::ranges::find(rows, change.put.address, &store::Row::address);
+            m_table.conflicted(*program, found == rows.end() ? nullptr : &*found);
+        } else {
+            m_table.doubtful(*program, change);
+        }
+        program->changed.notify();
+    }
+    if (!reply) {
+        // Rows of turns never change, so that a write whose answer was lost may be sent again.
+        framework::logEvent(framework::LogLevel::Warning, "programs", "turns_not_stored",
+                            {{"turns", batch.writings.size()}, {"reason", framework::codeOf(reply.error())}});
+        return false;
+    }
+    if (!isStored) {
+        return true; // Another host wrote a program's row meanwhile: the next try goes on from that.
+    }
+    auto& bucket = m_buckets[partitionOf(*batch.writings.front()->turn)];
+    for (const auto& writing : batch.writings) {
+        bucket.waiting.pop_front();
+        writing->isStored = true;
+        m_unwritten -= writing->isHandedOver ? 1 : 0;
+        m_unwrittenBytes -= writing->record.size();
+        writing->changed.cancel();
+    }
+    return true;
+}
+
+auto TurnJournal::readRow(std::string id, std::uint32_t partition) -> AsyncResult<TurnPtr>
+{
+    const auto address = rowOf(id, partition);
     auto request =
         store::ListRequest{.table = address.table, .partition = address.partition, .from = id, .to = justAfter(id), .limit = 1};
     BOOST_OUTCOME_CO_TRY(const auto page, co_await m_store.list(std::move(request)));
@@ -177,6 +235,18 @@
     co_return turn;
 }
 
+auto TurnJournal::readAnywhere(std::string id, std::uint32_t likely) -> AsyncResult<TurnPtr>
+{
+    // A new program may go on from a turn of another one, whose partition its request does not tell.
+    for (auto step = std::uint32_t{0}; step < s_partitions; ++step) {
+        BOOST_OUTCOME_CO_TRY(auto turn, co_await readRow(id, (likely + step) % s_partitions));
+        if (turn) {
+            co_return turn;
+        }
+    }
+    co_return TurnPtr();
+}
+
 auto TurnJournal::findHere(std::string_view id) -> TurnPtr
 {
     if (auto turn = m_cache.find(id)) {
@@ -186,25 +256,34 @@
     return held == m_heldForOthers.end() ? nullptr : decodeTurn(held->second.record);
 }
 
-auto TurnJournal::find(std::string id) -> Async<TurnSearch>
+auto TurnJournal::find(std::string id, ProgramKey program) -> Async<TurnSearch>
 {
     if (auto turn = findHere(id)) {
         co_return TurnSearch{.turn = std::move(turn), .isCertain = true};
     }
-    auto isAbsentFromStore = false;
+    const auto likely = programs::partitionOf(program);
+    auto isInNoRow = false;
     if (!m_isStoreSlow) {
-        auto row = co_await readRow(id);
+        const auto row = co_await readRow(id, likely);
         if (row && row.value()) {
             co_return TurnSearch{.turn = row.value(), .isCertain = true};
         }
-        isAbsentFromStore = static_cast<bool>(row);
-        if (isAbsentFromStore && !m_peers.mayHoldUnwritten()) {
-            co_return TurnSearch{.turn = nullptr, .isCertain = true};
-        }
     }
+    const auto others = co_await askOthers(id);
+    if (others.turn) {
+        co_return others;
+    }
+    const auto row = co_await readAnywhere(id, likely);
+    isInNoRow = row && !row.value();
+    co_return TurnSearch{.turn = row ? row.value() : nullptr, .isCertain = isInNoRow && others.isCertain};
+}
+
+auto TurnJournal::askOthers(std::string id) -> Async<TurnSearch>
+{
     auto request = peers::messages::Request();
     request.mutable_turn_query()->set_id(id);
-    const auto answers = co_await peers::askAll(m_peers, m_peers.everyone(), std::move(request), s_queryTimeout,
+    const auto addresses = m_peers.everyone();
+    const auto answers = co_await peers::askAll(m_peers, addresses, std::move(request), s_queryTimeout,
                                                 [](const auto& response) { return !response.turn().empty(); });
     for (const auto& response : answers.responses) {
         if (auto turn = decodeTurn(response.turn())) {
@@ -212,36 +291,53 @@
             co_return TurnSearch{.turn = std::move(turn), .isCertain = true};
         }
     }
-    if (!isAbsentFromStore) {
-        auto row = co_await readRow(id);
+    // A host that does not answer may hold turns that the store lacks.
+    co_return TurnSearch{.turn = nullptr, .isCertain = answers.failed == 0 && !m_peers.isAnyoneSilent()};
+}
+
+auto TurnJournal::findAncestor(Ancestor ancestor) -> Async<TurnPtr>
+{
+    if (auto turn = findHere(ancestor.id)) {
+        co_return turn;
+    }
+    if (!m_isStoreSlow) {
+        const auto row = co_await readRow(ancestor.id, ancestor.partition);
         if (row && row.value()) {
-            co_return TurnSearch{.turn = row.value(), .isCertain = true};
+            co_return row.value();
         }
-        isAbsentFromStore = static_cast<bool>(row);
     }
-    co_return TurnSearch{.turn = nullptr, .isCertain = isAbsentFromStore && !m_peers.mayHoldUnwritten()};
+    const auto others = co_await askOthers(ancestor.id);
+    if (others.turn) {
+        co_return others.turn;
+    }
+    const auto row = co_await readRow(ancestor.id, ancestor.partition);
+    co_return row ? row.value() : nullptr;
 }
 
-auto TurnJournal::findAll(std::vector<std::string> ids) -> Async<std::optional<std::vector<TurnPtr>>>
+auto TurnJournal::findAncestors(TurnPtr turn) -> Async<std::optional<std::vector<TurnPtr>>>
 {
     struct Search
     {
+        explicit Search(asio::any_io_executor executor)
+            : done(std::move(executor))
+        {}
+
         asio::steady_timer done;
         std::vector<TurnPtr> turns;
         std::size_t open = 0;
     };
-    const auto search = std::make_shared<Search>(Search{.done = asio::steady_timer(m_executor), .turns = {}, .open = 0});
-    search->turns.resize(ids.size());
-    for (auto index = std::size_t{0}; index < ids.size(); ++index) {
-        search->turns[index] = findHere(ids[index]);
+    const auto search = std::make_shared<Search>(m_executor);
+    search->turns.resize(turn->ancestors.size());
+    for (auto index = std::size_t{0}; index < turn->ancestors.size(); ++index) {
+        search->turns[index] = findHere(turn->ancestors[index].id);
         if (search->turns[index]) {
             continue;
         }
         ++search->open;
         asio::co_spawn(
             m_executor,
-            [this, search, index, id = ids[index]]() -> Async<void> {
-                search->turns[index] = (co_await find(id)).turn;
+            [this, search, index, ancestor = turn->ancestors[index]]() -> Async<void> {
+                search->turns[index] = co_await findAncestor(ancestor);
                 if (--search->open == 0) {
                     search->done.cancel();
                 }
@@ -253,10 +349,8 @@
         search->done.expires_after(Milliseconds(1'000)); // Each search ends by its own timeouts.
         co_await search->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    for (const auto& turn : search->turns) {
-        if (!turn) {
-            co_return std::nullopt;
-        }
+    if (std::ranges::any_of(search->turns, [](const TurnPtr& found) { return found == nullptr; })) {
+        co_return std::nullopt;
     }
     co_return std::move(search->turns);
 }
@@ -269,7 +363,8 @@
             framework::logEvent(framework::LogLevel::Warning, "programs", "kept_turn_unreadable", {{"origin", origin}});
             continue;
         }
-        m_heldForOthers[turn->id] = Held{.origin = origin, .record = record, .since = m_clock.now()};
+        m_heldForOthers[turn->id] =
+            Held{.origin = origin, .record = record, .partition = partitionOf(*turn), .since = m_clock.now()};
     }
 }
 
@@ -291,7 +386,7 @@
             continue;
         }
         auto transaction = store::Transaction();
-        transaction.puts.push_back({.address = rowOf(id, s_buckets), .value = held->second.record});
+        transaction.puts.push_back({.address = rowOf(id, held->second.partition), .value = held->second.record});
         const auto reply = co_await m_store.transact(std::move(transaction));
         if (!reply) {
             co_return; // Tried again at the next call.
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -4,7 +4,7 @@
 #include "framework/global/iclock.h"
 #include "framework/global/nametable.h"
 #include "peers/ipeers.h"
-#include "programs/turn.h"
+#include "programs/programtable.h"
 #include "store/istore.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -36,20 +36,21 @@
     bool isCertain = true; ///< whether not found means that there is none
 };
 
-/// Keeps turns: in the store, one row each, found by its id alone; on other hosts while the store is away.
+/// Keeps turns: in the store, one row each beside its program's; on other hosts while the store is away.
 class TurnJournal
 {
 public:
-    TurnJournal(framework::asio::any_io_executor executor, store::IStore& store, peers::IPeers& peers, const framework::IClock& clock,
-                std::size_t cacheBytes);
+    TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
+                const framework::IClock& clock, std::size_t cacheBytes);
 
-    /// Makes a turn last. Returns when it is stored, or when other hosts hold it because the store takes too long.
-    auto commit(TurnPtr turn) -> framework::Async<CommitOutcome>;
+    /// Makes a turn last, together with what its program has spent; `most` is what one turn of it may generate. Returns when it is stored, or when other hosts hold it because the store takes too long.
+    auto commit(TurnPtr turn, std::uint64_t most) -> framework::Async<CommitOutcome>;
 
-    auto find(std::string id) -> framework::Async<TurnSearch>;
+    /// The turn called `id` of any program; most are of `program`.
+    auto find(std::string id, ProgramKey program) -> framework::Async<TurnSearch>;
 
-    /// All turns of `ids`; nothing where one cannot be had.
-    auto findAll(std::vector<std::string> ids) -> framework::Async<std::optional<std::vector<TurnPtr>>>;
+    /// All turns that a turn continues; nothing where one cannot be had.
+    auto findAncestors(TurnPtr turn) -> framework::Async<std::optional<std::vector<TurnPtr>>>;
 
     /// A turn that this host holds in memory; null where it does not.
     auto findHere(std::string_view id) -> TurnPtr;
@@ -75,6 +76,7 @@
 
         TurnPtr turn;
         std::string record;
+        std::uint64_t most = 0;
         framework::asio::steady_timer changed;
         bool isStored = false;
         bool isHandedOver = false; ///< other hosts were asked to hold it
@@ -93,22 +95,35 @@
     {
         std::string origin;
         std::string record;
+        std::uint32_t partition = 0;
         framework::Instant since{};
     };
 
-    static constexpr auto s_buckets = std::size_t{16};
+    struct Batch
+    {
+        store::Transaction transaction;
+        std::vector<WritingPtr> writings;
+        std::vector<std::pair<ProgramPtr, RowChange>> programs;
+    };
 
-    auto pump(std::size_t bucket) -> framework::Async<void>;
+    auto pump(std::uint32_t partition) -> framework::Async<void>;
     auto handOver(WritingPtr writing) -> void;
     auto keepAt(std::string address, WritingPtr writing) -> framework::Async<void>;
-    auto readRow(std::string id) -> framework::AsyncResult<TurnPtr>;
+    auto gather(const Bucket& bucket) -> Batch;
+    auto addProgram(Batch& batch, const WritingPtr& writing) -> void;
+    auto resolve(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool;
+    auto readRow(std::string id, std::uint32_t partition) -> framework::AsyncResult<TurnPtr>;
+    auto readAnywhere(std::string id, std::uint32_t likely) -> framework::AsyncResult<TurnPtr>;
+    auto findAncestor(Ancestor ancestor) -> framework::Async<TurnPtr>;
+    auto askOthers(std::string id) -> framework::Async<TurnSearch>;
 
     framework::asio::any_io_executor m_executor;
+    ProgramTable& m_table;
     store::IStore& m_store;
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
     TurnCache m_cache;
-    std::array<Bucket, s_buckets> m_bucketsWriting;
+    std::array<Bucket, s_partitions> m_buckets;
     std::map<std::string, Held, std::less<>> m_heldForOthers;
     std::size_t m_unwritten = 0;
     std::size_t m_unwrittenBytes = 0;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -59,8 +59,9 @@
     , m_shared{.knowledge = m_knowledge, .limiter = m_limiter, .quarantine = m_quarantine, .directStore = outside.store}
     , m_link(context.get_executor(), m_settings, m_incarnation, m_clock, m_metrics, m_shared)
     , m_store(outside.store, m_link, m_clock)
-    , m_journal(context.get_executor(), m_store, m_link, m_clock, turnMemory(m_settings))
-    , m_budgets(context.get_executor(), m_store, m_link, m_clock, m_settings.host, m_incarnation)
+    , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
+    , m_journal(context.get_executor(), m_programs, m_store, m_link, m_clock, turnMemory(m_settings))
+    , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock)
     , m_follower(context.get_executor(), outside.store, outside.feed, m_store.directWay(), m_knowledge, outside.rows, m_clock)
     , m_connections(context.get_executor(), m_clock)
     , m_exchange(m_connections, outside.wire, m_clock)
@@ -162,7 +163,7 @@
         }
         sinceUpkeep = Milliseconds(0);
         m_connections.sweep();
-        m_budgets.forget();
+        m_programs.forget();
         m_quarantine.forget(m_clock.now());
         std::erase_if(m_callers, [](const auto& caller) { return caller.expired(); });
         asio::co_spawn(
@@ -258,7 +259,7 @@
 {
     m_metrics.setGauge("open_requests", m_callerSide.openRequests);
     m_metrics.setGauge("unwritten_turns", static_cast<double>(m_journal.unwritten()));
-    m_metrics.setGauge("programs", static_cast<double>(m_budgets.programs()));
+    m_metrics.setGauge("programs", static_cast<double>(m_programs.size()));
     m_metrics.setGauge("backend_connections_made", static_cast<double>(m_connections.made()));
     m_metrics.setGauge("store_calls_relayed", static_cast<double>(m_store.relayedCalls()));
     m_metrics.setGauge("log_lines_dropped", static_cast<double>(framework::droppedLogLines()));
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -60,6 +60,7 @@
     SharedState m_shared;
     FleetLink m_link;
     store::RoutedStore m_store;
+    programs::ProgramTable m_programs;
     programs::TurnJournal m_journal;
     programs::BudgetLedger m_budgets;
     StoreFollower m_follower;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -259,11 +259,9 @@
     return near;
 }
 
-auto FleetLink::mayHoldUnwritten() const -> bool
+auto FleetLink::isAnyoneSilent() const -> bool
 {
-    const auto now = m_clock.now();
-    return m_table.heardShare(now) < 1 ||
-           std::ranges::any_of(m_table.heard(now), [](const auto* peer) { return peer->last.unwritten_turns() > 0; });
+    return m_table.heardShare(m_clock.now()) < 1;
 }
 
 auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
@@ -302,9 +300,8 @@
         const auto& query = request.grant_query();
         const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
         response.set_knows_program(m_state.budgets->knows(key));
-        response.set_granted(m_state.budgets->giveAway(key, query.tokens(), query.may_borrow()));
+        response.set_granted(m_state.budgets->giveAway(key, query.tokens()));
         response.set_reserved(m_state.budgets->reserved(key));
-        response.set_address(m_settings.peerAddress);
         break;
     }
     case messages::Request::BODY_NOT_SET:
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -117,14 +117,14 @@
         co_return Refusal::StoreAway;
     }
     if (!turn.previousTurn.empty()) {
-        const auto search = co_await m_parts.journal.find(turn.previousTurn);
+        const auto search = co_await m_parts.journal.find(turn.previousTurn, programKey());
         if (!search.turn) {
             co_return search.isCertain ? Refusal::NoSuchTurn : Refusal::TurnUnknown;
         }
         if (search.turn->account != m_account) {
             co_return Refusal::NoSuchTurn;
         }
-        const auto chain = co_await m_parts.journal.findAll(search.turn->ancestors);
+        const auto chain = co_await m_parts.journal.findAncestors(search.turn);
         if (!chain) {
             co_return Refusal::TurnUnknown;
         }
@@ -135,19 +135,28 @@
         text += search.turn->input + search.turn->output;
         m_request.body = text + m_input;
         m_ancestors = search.turn->ancestors;
-        m_ancestors.push_back(search.turn->id);
+        m_ancestors.push_back({.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
         m_need.lastBackend = search.turn->backend;
     }
     if (!turn.hasBudget || turn.program.empty()) {
         co_return std::nullopt;
     }
-    const auto outcome = co_await m_parts.budgets.reserve({.account = m_account, .program = turn.program}, turn.budget, turn.mostTokens,
-                                                          turn.previousTurn.empty());
-    m_isReserved = outcome == BudgetOutcome::Reserved;
-    if (m_isReserved) {
+    const auto reservation = co_await m_parts.budgets.reserve(programKey(), turn.budget, turn.mostTokens, turn.previousTurn.empty());
+    if (reservation.outcome == BudgetOutcome::Reserved) {
+        m_reservedTokens = reservation.tokens;
         co_return std::nullopt;
     }
-    co_return outcome == BudgetOutcome::Spent ? Refusal::BudgetSpent : Refusal::BudgetUnknown;
+    co_return reservation.outcome == BudgetOutcome::Spent ? Refusal::BudgetSpent : Refusal::BudgetUnknown;
+}
+
+auto RequestRun::programKey() const -> programs::ProgramKey
+{
+    return {.account = m_account, .program = m_request.turn.program};
+}
+
+auto RequestRun::tokensPerEvent() const -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(m_service->engine ? m_service->engine->tokensPerEvent : 1);
 }
 
 auto RequestRun::serve() -> Async<std::optional<Refusal>>
@@ -323,10 +332,11 @@
     turn->ancestors = m_ancestors;
     turn->input = m_input;
     turn->output = m_events.data();
-    turn->tokens = m_events.events() * (m_service->engine ? m_service->engine->tokensPerEvent : 1);
+    turn->tokens = static_cast<int>(static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent());
     turn->backend = backend->entry.id;
     const auto began = m_parts.clock.now();
-    const auto outcome = co_await m_parts.journal.commit(std::move(turn));
+    settleTurn();
+    const auto outcome = co_await m_parts.journal.commit(std::move(turn), m_request.turn.mostTokens);
     m_commit = framework::nameOf(programs::s_commitOutcomeNames, outcome);
     m_parts.metrics.count("turn_commits", {{"outcome", m_commit}});
     m_parts.metrics.record("turn_commit_ms", std::chrono::duration<double, std::milli>(m_parts.clock.now() - began).count());
@@ -334,14 +344,12 @@
 
 auto RequestRun::settleTurn() -> void
 {
-    if (!m_isReserved) {
+    if (m_reservedTokens == 0) {
         return;
     }
-    m_isReserved = false;
-    const auto tokensPerEvent = m_service->engine ? m_service->engine->tokensPerEvent : 1;
     const auto begunEvents = m_events.events() + (m_events.isBetweenEvents() ? 0 : 1);
-    m_parts.budgets.settle({.account = m_account, .program = m_request.turn.program}, m_request.turn.mostTokens,
-                           static_cast<std::uint64_t>(begunEvents) * tokensPerEvent);
+    m_parts.budgets.settle(programKey(), m_reservedTokens, static_cast<std::uint64_t>(begunEvents) * tokensPerEvent());
+    m_reservedTokens = 0;
 }
 
 auto RequestRun::onHead(const http::response_header<>& head) -> Async<bool>
@@ -352,6 +360,10 @@
 auto RequestRun::onPiece(std::string_view bytes) -> Async<bool>
 {
     m_events.feed(bytes);
+    const auto tokens = static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent();
+    if (m_reservedTokens > 0 && m_reservedTokens < m_request.turn.mostTokens && tokens > m_reservedTokens) {
+        co_return false; // Tokens that were lent while the store is away are used up.
+    }
     m_lastEventAt = m_parts.clock.now();
     if (m_firstEventAt == framework::Instant{}) {
         m_firstEventAt = m_lastEventAt;
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -53,6 +53,8 @@
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
     auto settleTurn() -> void;
+    auto programKey() const -> programs::ProgramKey;
+    auto tokensPerEvent() const -> std::uint64_t;
     auto chooseBackend() -> backends::BackendPtr;
     auto mayTryAgain(const AttemptResult& result) const -> bool;
     auto refusalAfter(const std::optional<AttemptResult>& last) const -> Refusal;
@@ -82,9 +84,9 @@
     std::shared_ptr<Fate> m_fate = std::make_shared<Fate>(); ///< outlives the run in handlers that come late
     bool m_mayHaveRun = false;
     scheduling::WorkNeed m_need;
-    std::vector<std::string> m_ancestors;
+    std::vector<programs::Ancestor> m_ancestors;
     std::string m_input; ///< of a turn: its own input, without those before it
-    bool m_isReserved = false;
+    std::uint64_t m_reservedTokens = 0;
     EventScanner m_events;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
