--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -24,7 +26,10 @@
 constexpr auto s_settlePatience = Milliseconds(900);
 constexpr auto s_settlePoll = Milliseconds(100);
 
-constexpr auto s_conflictTries = 6;
+constexpr auto s_conflictTries = 8;
+
+/// Milliseconds; a write takes about ten.
+constexpr auto s_contentionPause = 15U;
 
 /// A turn on lent tokens runs with this part of its most: the usual turn generates a quarter.
 constexpr auto s_leastLentShare = 0.5;
@@ -63,16 +68,16 @@
             reservation = {.outcome = BudgetOutcome::Reserved, .tokens = most};
             break;
         }
-        const auto refill = m_refills[key];
-        const auto isStoreAway = refill.isRunning || refill.last == Refill::Failed;
+        const auto isAway = isStoreAway(key);
+        const auto last = m_refills[key].last;
         const auto isSomeUnderWay = co_await askOthers(key, program, most) || program->holding.reserved() > 0;
         if (program->holding.free() >= most) {
             continue;
         }
-        if (isStoreAway) {
+        if (isAway) {
             reservation = lend(key, *program, most, isFirstTurn, isSomeUnderWay);
         } else {
-            reservation.outcome = refill.last == Refill::Exhausted ? BudgetOutcome::Spent : BudgetOutcome::Unsure;
+            reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Spent : BudgetOutcome::Unsure;
         }
         if (reservation.outcome == BudgetOutcome::Reserved || (reservation.outcome == BudgetOutcome::Spent && !isSomeUnderWay) ||
             m_clock.now() >= deadline) {
@@ -109,6 +114,15 @@
     return program && (program->isRowKnown || program->holding.recorded() > 0);
 }
 
+auto BudgetLedger::isStoreAway(const ProgramKey& key) -> bool
+{
+    const auto& refill = m_refills[key];
+    if (!refill.isRunning) {
+        return refill.last == Refill::Failed;
+    }
+    return refill.callBeganAt && (m_isStoreSlow || m_clock.now() >= *refill.callBeganAt + s_storePatience);
+}
+
 auto BudgetLedger::startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void
 {
     if (m_refills[key].isRunning) {
@@ -118,10 +132,8 @@
     asio::co_spawn(
         m_executor,
         [this, key, program, most]() -> Async<void> {
-            const auto began = m_clock.now();
             const auto outcome = co_await refill(key, program, most);
-            m_isStoreSlow = outcome == Refill::Failed || m_clock.now() - began > s_storePatience;
-            m_refills[key] = {.isRunning = false, .last = outcome};
+            m_refills[key] = {.isRunning = false, .last = outcome, .callBeganAt = std::nullopt};
             if (outcome == Refill::Done) {
                 m_refills.erase(key);
             }
@@ -160,7 +172,11 @@
         transaction.conditions.push_back(change.condition);
         transaction.puts.push_back(change.put);
         program->isRowBeingWritten = true;
+        const auto began = m_clock.now();
+        m_refills[key].callBeganAt = began;
         const auto reply = co_await m_store.transact(std::move(transaction));
+        m_refills[key].callBeganAt.reset();
+        m_isStoreSlow = !reply || m_clock.now() - began > s_storePatience;
         program->isRowBeingWritten = false;
         if (!reply) {
             if (reply.error() == store::StoreError::OutcomeUnknown) {
@@ -175,8 +191,11 @@
         const auto& rows = reply.value().currentRows;
         m_table.conflicted(*program, rows.empty() ? nullptr : &rows.front());
         isFresh = true;
+        // Hosts that contend for a row come back at different times.
+        auto pause = asio::steady_timer(m_executor, Milliseconds(m_random() % (s_contentionPause * (attempt + 1))));
+        co_await pause.async_wait(asio::use_awaitable);
     }
-    co_return Refill::Failed;
+    co_return Refill::Contended;
 }
 
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -5,6 +5,9 @@
 #include "programs/programtable.h"
 #include "store/istore.h"
 
+#include <optional>
+#include <random>
+
 namespace laburnummill::programs {
 
 /// Whether a turn may run within its program's budget.
@@ -51,6 +54,7 @@
     {
         Done,
         Exhausted, ///< the row leaves less than is needed
+        Contended, ///< other hosts wrote the row first, again and again
         Failed,    ///< the store did not say
     };
 
@@ -58,8 +62,10 @@
     {
         bool isRunning = false;
         Refill last = Refill::Done;
+        std::optional<framework::Instant> callBeganAt; ///< of a call to the store under way
     };
 
+    auto isStoreAway(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
@@ -73,6 +79,7 @@
     const framework::IClock& m_clock;
     std::map<ProgramKey, RefillState> m_refills;
     bool m_isStoreSlow = false;
+    std::minstd_rand m_random{std::random_device()()};
 };
 
 } // namespace laburnummill::programs
