--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -25,6 +25,9 @@
 
 constexpr auto s_upkeepPeriod = Milliseconds(1'000);
 constexpr auto s_limitsPeriod = Milliseconds(50);
+/// Seconds between two log lines with all counters.
+constexpr auto s_figureSeconds = 10;
+
 constexpr auto s_logPeriod = Milliseconds(100);
 
 /// The balancer asks once a second and takes a host out after two misses; callers come until then.
@@ -51,9 +54,10 @@
 
 } // namespace
 
-EntryHost::EntryHost(asio::io_context& context, HostSettings settings, const Outside& outside)
+EntryHost::EntryHost(asio::io_context& context, HostSettings settings, framework::Metrics& metrics, const Outside& outside)
     : m_context(context)
     , m_settings(std::move(settings))
+    , m_metrics(metrics)
     , m_incarnation(newIncarnation())
     , m_knowledge(outside.rows, m_clock)
     , m_shared{.knowledge = m_knowledge, .limiter = m_limiter, .quarantine = m_quarantine, .directStore = outside.store}
@@ -152,6 +156,7 @@
 {
     auto timer = asio::steady_timer(m_context);
     auto sinceUpkeep = Milliseconds(0);
+    auto seconds = 0;
     while (true) {
         timer.expires_after(s_limitsPeriod);
         co_await timer.async_wait(asio::use_awaitable);
@@ -162,6 +167,9 @@
             continue;
         }
         sinceUpkeep = Milliseconds(0);
+        if (++seconds % s_figureSeconds == 0) {
+            logFigures();
+        }
         m_connections.sweep();
         m_programs.forget();
         m_quarantine.forget(m_clock.now());
@@ -266,6 +274,20 @@
     m_metrics.setGauge("hosts", m_link.fleetSize());
 }
 
+auto EntryHost::logFigures() const -> void
+{
+    auto figures = framework::Json::object();
+    const auto document = m_metrics.toJson();
+    for (const auto& counter : document["counters"]) {
+        auto name = counter["name"].get<std::string>();
+        for (const auto& [label, value] : counter["labels"].items()) {
+            name += " " + value.get<std::string>();
+        }
+        figures[name] = counter["value"];
+    }
+    framework::logEvent(LogLevel::Info, "serving", "figures", {{"counters", std::move(figures)}});
+}
+
 auto EntryHost::describe(std::string_view path) const -> StatusAnswer
 {
     setGauges();
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -27,7 +27,7 @@
 class EntryHost
 {
 public:
-    EntryHost(framework::asio::io_context& context, HostSettings settings, const Outside& outside);
+    EntryHost(framework::asio::io_context& context, HostSettings settings, framework::Metrics& metrics, const Outside& outside);
 
     auto start() -> void;
 
@@ -48,11 +48,12 @@
     auto closeIdleCallers() -> void;
     auto describe(std::string_view path) const -> StatusAnswer;
     auto setGauges() const -> void;
+    auto logFigures() const -> void;
 
     framework::asio::io_context& m_context;
     HostSettings m_settings;
     framework::SystemClock m_clock;
-    mutable framework::Metrics m_metrics;
+    framework::Metrics& m_metrics;
     std::uint64_t m_incarnation;
     FleetKnowledge m_knowledge;
     accounts::FleetLimiter m_limiter;
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -116,8 +116,10 @@
     if (m_parts.journal.isFull()) {
         co_return Refusal::StoreAway;
     }
+    const auto began = m_parts.clock.now();
     if (!turn.previousTurn.empty()) {
         const auto search = co_await m_parts.journal.find(turn.previousTurn, programKey());
+        noteStage("previousTurn", began);
         if (!search.turn) {
             co_return search.isCertain ? Refusal::NoSuchTurn : Refusal::TurnUnknown;
         }
@@ -125,6 +127,7 @@
             co_return Refusal::NoSuchTurn;
         }
         const auto chain = co_await m_parts.journal.findAncestors(search.turn);
+        noteStage("chain", began);
         if (!chain) {
             co_return Refusal::TurnUnknown;
         }
@@ -141,7 +144,9 @@
     if (!turn.hasBudget || turn.program.empty()) {
         co_return std::nullopt;
     }
+    const auto askedAt = m_parts.clock.now();
     const auto reservation = co_await m_parts.budgets.reserve(programKey(), turn.budget, turn.mostTokens, turn.previousTurn.empty());
+    noteStage("budget", askedAt);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         m_reservedTokens = reservation.tokens;
         co_return std::nullopt;
@@ -337,6 +342,7 @@
     const auto began = m_parts.clock.now();
     settleTurn();
     const auto outcome = co_await m_parts.journal.commit(std::move(turn), m_request.turn.mostTokens);
+    noteStage("commit", began);
     m_commit = framework::nameOf(programs::s_commitOutcomeNames, outcome);
     m_parts.metrics.count("turn_commits", {{"outcome", m_commit}});
     m_parts.metrics.record("turn_commit_ms", std::chrono::duration<double, std::milli>(m_parts.clock.now() - began).count());
@@ -420,6 +426,11 @@
     });
 }
 
+auto RequestRun::noteStage(const char* stage, framework::Instant began) -> void
+{
+    m_stages[stage] = std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - began).count();
+}
+
 auto RequestRun::logEnd(std::string_view outcome, unsigned status) -> void
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - m_request.arrivedAt);
@@ -441,6 +452,9 @@
     if (!m_request.turn.program.empty()) {
         fields["program"] = m_request.turn.program;
     }
+    if (!m_stages.empty()) {
+        fields["stagesMs"] = m_stages;
+    }
     if (!m_commit.empty()) {
         fields["commit"] = m_commit;
         fields["events"] = m_events.events();
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -63,6 +63,7 @@
     auto isTurn() const -> bool { return m_route != nullptr && m_route->keepsTurns; }
     auto watchCaller() -> void;
     auto startDeadline() -> void;
+    auto noteStage(const char* stage, framework::Instant began) -> void;
     auto logEnd(std::string_view outcome, unsigned status) -> void;
 
     ServingParts& m_parts;
@@ -92,6 +93,7 @@
     framework::Instant m_lastEventAt{};
     int m_attempts = 0;
     framework::Json m_attemptLog = framework::Json::array();
+    framework::Json m_stages = framework::Json::object(); ///< milliseconds that parts of the way took
     std::string m_commit;
 };
 
