--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -20,8 +20,12 @@
     /// Addresses of all hosts that are heard, those of the own data centre first.
     virtual auto everyone() const -> std::vector<std::string> = 0;
 
-    /// Up to two hosts that keep `key` while the store is away: one in another data centre where one is heard.
-    virtual auto keepers(std::string_view key) const -> std::vector<std::string> = 0;
+    /// The host of the own data centre that counts a program's tokens and remembers its turns for all of them: the same
+    /// for all that hear the same hosts. May be this host.
+    virtual auto home(std::string_view program) const -> std::string = 0;
+
+    /// Up to two other hosts that keep a program's turns while the store is away: its home, and one in another data centre.
+    virtual auto keepers(std::string_view program) const -> std::vector<std::string> = 0;
 
     /// Hosts that reach the store themselves, those of the own data centre first.
     virtual auto storeHelpers() const -> std::vector<std::string> = 0;
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -22,6 +22,9 @@
 constexpr auto s_storePatience = Milliseconds(60);
 constexpr auto s_queryTimeout = Milliseconds(200);
 
+/// A home waits up to `s_settlePatience` for other turns, and one round of questions beyond.
+constexpr auto s_homeTimeout = Milliseconds(1'300);
+
 /// A turn waits this long for others of its program to give back what they did not use.
 constexpr auto s_settlePatience = Milliseconds(900);
 constexpr auto s_settlePoll = Milliseconds(100);
@@ -50,6 +53,69 @@
     if (most > budget) {
         co_return Reservation{.outcome = BudgetOutcome::Spent, .tokens = 0};
     }
+    const auto known = m_table.find(key);
+    if (known && known->holding.reserve(most)) {
+        co_return Reservation{.outcome = BudgetOutcome::Reserved, .tokens = most};
+    }
+    const auto home = m_peers.home(key.program);
+    if (home != m_peers.ownAddress()) {
+        const auto atHome = co_await reserveAtHome(key, home, budget, most, isFirstTurn);
+        if (atHome) {
+            co_return *atHome;
+        }
+    }
+    co_return co_await reserveHere(std::move(key), budget, most, isFirstTurn);
+}
+
+auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t most, bool isFirstTurn)
+    -> Async<std::optional<Reservation>>
+{
+    auto request = peers::messages::Request();
+    auto& query = *request.mutable_grant_query();
+    query.set_account(key.account);
+    query.set_program(key.program);
+    query.set_tokens(most);
+    query.set_budget(budget);
+    query.set_is_first_turn(isFirstTurn);
+    query.set_may_take_more(true);
+    const auto response = co_await m_peers.call(std::move(home), std::move(request), s_homeTimeout);
+    if (!response) {
+        co_return std::nullopt; // Counted at home as handed out, should it have been granted.
+    }
+    const auto outcome = static_cast<BudgetOutcome>(response.value().budget_outcome());
+    const auto program = m_table.program(key);
+    program->budget = budget;
+    program->holding.receive(response.value().granted());
+    if (outcome != BudgetOutcome::Reserved) {
+        co_return Reservation{.outcome = outcome, .tokens = 0};
+    }
+    program->holding.reserve(response.value().granted());
+    co_return Reservation{.outcome = outcome, .tokens = response.value().granted()};
+}
+
+auto BudgetLedger::reserveFor(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<Reservation>
+{
+    auto reservation = co_await reserveHere(key, budget, most, isFirstTurn);
+    if (reservation.outcome == BudgetOutcome::Reserved) {
+        const auto program = m_table.program(key);
+        program->holding.settle(reservation.tokens, 0);
+        program->holding.give(reservation.tokens);
+        if (program->holding.free() < most && !m_isStoreSlow) {
+            startRefill(key, program, most); // Ahead of the next turn.
+        }
+    }
+    co_return reservation;
+}
+
+auto BudgetLedger::takeBack(const ProgramKey& key, std::uint64_t tokens) -> void
+{
+    const auto program = m_table.program(key);
+    program->holding.receive(tokens);
+    program->changed.notify();
+}
+
+auto BudgetLedger::reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<Reservation>
+{
     const auto program = m_table.program(key);
     program->budget = budget;
     program->wanted += most;
@@ -79,8 +145,8 @@
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Spent : BudgetOutcome::Unsure;
         }
-        if (reservation.outcome == BudgetOutcome::Reserved || (reservation.outcome == BudgetOutcome::Spent && !isSomeUnderWay) ||
-            m_clock.now() >= deadline) {
+        const auto mayChange = isSomeUnderWay || (reservation.outcome == BudgetOutcome::Unsure && !isAway);
+        if (reservation.outcome == BudgetOutcome::Reserved || !mayChange || m_clock.now() >= deadline) {
             break;
         }
         co_await program->changed.wait(s_settlePoll);
@@ -89,11 +155,13 @@
     co_return reservation;
 }
 
-auto BudgetLedger::settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> void
+auto BudgetLedger::settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t
 {
     const auto program = m_table.program(key);
     program->holding.settle(reserved, used);
     program->changed.notify();
+    const auto isHome = m_peers.home(key.program) == m_peers.ownAddress();
+    return isHome ? 0 : program->holding.give(program->holding.free());
 }
 
 auto BudgetLedger::giveAway(const ProgramKey& key, std::uint64_t most) -> std::uint64_t
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -37,8 +37,15 @@
     /// Reserves the `most` tokens that a turn may generate. `isFirstTurn`: the program has no turn before it.
     auto reserve(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<Reservation>;
 
-    /// Ends a reservation of which `used` tokens were handed out.
-    auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> void;
+    /// Ends a reservation of which `used` tokens were handed out. Returns what is left for the program's home, and is
+    /// not counted here any more.
+    auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t;
+
+    /// Reserves at this home for a turn at another host, and gives the tokens away.
+    auto reserveFor(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<Reservation>;
+
+    /// Tokens that a turn at another host did not use.
+    auto takeBack(const ProgramKey& key, std::uint64_t tokens) -> void;
 
     /// Gives free tokens of a program to another host.
     auto giveAway(const ProgramKey& key, std::uint64_t most) -> std::uint64_t;
@@ -65,6 +72,9 @@
         std::optional<framework::Instant> callBeganAt; ///< of a call to the store under way
     };
 
+    auto reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<Reservation>;
+    auto reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t most, bool isFirstTurn)
+        -> framework::Async<std::optional<Reservation>>;
     auto isStoreAway(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -40,6 +40,12 @@
 constexpr auto s_retryPause = Milliseconds(250);
 constexpr auto s_queryTimeout = Milliseconds(250);
 
+/// A home answers from its memory, in the same data centre.
+constexpr auto s_homeTimeout = Milliseconds(100);
+
+/// A search for a turn that the store does not answer ends after this.
+constexpr auto s_searchPatience = Milliseconds(600);
+
 /// What a store that is away for some ten seconds leaves behind at the sites' load, three times over.
 constexpr auto s_unwrittenBytesLimit = std::size_t{16 * 1024 * 1024};
 
@@ -112,7 +118,7 @@
 {
     writing->isHandedOver = true;
     ++m_unwritten;
-    for (auto& address : m_peers.keepers(writing->turn->id)) {
+    for (auto& address : m_peers.keepers(writing->turn->program)) {
         ++writing->keepsOpen;
         asio::co_spawn(m_executor, keepAt(std::move(address), writing), asio::detached);
     }
@@ -258,60 +264,134 @@
 
 auto TurnJournal::find(std::string id, ProgramKey program) -> Async<TurnSearch>
 {
+    if (auto turn = findHere(id)) {
+        co_return TurnSearch{.turn = std::move(turn), .isCertain = true};
+    }
+    co_await askHome(program.program, {id});
     if (auto turn = findHere(id)) {
         co_return TurnSearch{.turn = std::move(turn), .isCertain = true};
     }
     const auto likely = programs::partitionOf(program);
-    auto isInNoRow = false;
-    if (!m_isStoreSlow) {
-        const auto row = co_await readRow(id, likely);
-        if (row && row.value()) {
-            co_return TurnSearch{.turn = row.value(), .isCertain = true};
-        }
+    const auto read = co_await readPatiently(id, likely);
+    if (read->turn) {
+        co_return TurnSearch{.turn = read->turn, .isCertain = true};
     }
     const auto others = co_await askOthers(id);
     if (others.turn) {
         co_return others;
     }
+    if (!read->hasEnded) {
+        co_await read->ended.wait(s_searchPatience);
+    }
+    if (read->turn || !read->isAnswered) {
+        co_return TurnSearch{.turn = read->turn, .isCertain = false};
+    }
     const auto row = co_await readAnywhere(id, likely);
-    isInNoRow = row && !row.value();
+    const auto isInNoRow = row && !row.value();
     co_return TurnSearch{.turn = row ? row.value() : nullptr, .isCertain = isInNoRow && others.isCertain};
 }
 
+auto TurnJournal::readPatiently(std::string id, std::uint32_t partition) -> Async<RowReadPtr>
+{
+    const auto read = std::make_shared<RowRead>(m_executor);
+    asio::co_spawn(
+        m_executor,
+        [this, read, id = std::move(id), partition]() -> Async<void> {
+            const auto row = co_await readRow(id, partition);
+            read->hasEnded = true;
+            read->isAnswered = static_cast<bool>(row);
+            read->turn = row ? row.value() : nullptr;
+            read->ended.notify();
+        },
+        asio::detached);
+    if (!m_isStoreSlow && !read->hasEnded) {
+        co_await read->ended.wait(s_storePatience);
+    }
+    co_return read;
+}
+
+auto TurnJournal::askHome(std::string program, std::vector<std::string> ids) -> Async<void>
+{
+    const auto home = m_peers.home(program);
+    if (home == m_peers.ownAddress()) {
+        co_return;
+    }
+    auto request = peers::messages::Request();
+    for (const auto& id : ids) {
+        request.mutable_turn_query()->add_ids(id);
+    }
+    const auto response = co_await m_peers.call(home, std::move(request), s_homeTimeout);
+    if (response) {
+        takeTurns(response.value());
+    }
+}
+
+auto TurnJournal::takeTurns(const peers::messages::Response& response) -> void
+{
+    for (const auto& record : response.turns()) {
+        remember(record);
+    }
+}
+
 auto TurnJournal::askOthers(std::string id) -> Async<TurnSearch>
 {
     auto request = peers::messages::Request();
-    request.mutable_turn_query()->set_id(id);
+    request.mutable_turn_query()->add_ids(id);
     const auto addresses = m_peers.everyone();
     const auto answers = co_await peers::askAll(m_peers, addresses, std::move(request), s_queryTimeout,
-                                                [](const auto& response) { return !response.turn().empty(); });
+                                                [](const auto& response) { return response.turns_size() > 0; });
     for (const auto& response : answers.responses) {
-        if (auto turn = decodeTurn(response.turn())) {
-            m_cache.put(turn);
-            co_return TurnSearch{.turn = std::move(turn), .isCertain = true};
-        }
+        takeTurns(response);
     }
     // A host that does not answer may hold turns that the store lacks.
-    co_return TurnSearch{.turn = nullptr, .isCertain = answers.failed == 0 && !m_peers.isAnyoneSilent()};
+    co_return TurnSearch{.turn = findHere(id), .isCertain = answers.failed == 0 && !m_peers.isAnyoneSilent()};
 }
 
 auto TurnJournal::findAncestor(Ancestor ancestor) -> Async<TurnPtr>
 {
-    if (auto turn = findHere(ancestor.id)) {
-        co_return turn;
-    }
-    if (!m_isStoreSlow) {
-        const auto row = co_await readRow(ancestor.id, ancestor.partition);
-        if (row && row.value()) {
-            co_return row.value();
-        }
+    const auto read = co_await readPatiently(ancestor.id, ancestor.partition);
+    if (read->turn) {
+        co_return read->turn;
     }
     const auto others = co_await askOthers(ancestor.id);
     if (others.turn) {
         co_return others.turn;
     }
-    const auto row = co_await readRow(ancestor.id, ancestor.partition);
-    co_return row ? row.value() : nullptr;
+    if (!read->hasEnded) {
+        co_await read->ended.wait(s_searchPatience);
+    }
+    co_return read->turn;
+}
+
+auto TurnJournal::tellHome(const ProgramKey& key, TurnPtr turn, std::uint64_t returnedTokens) -> void
+{
+    auto home = m_peers.home(key.program);
+    if (home == m_peers.ownAddress()) {
+        return;
+    }
+    auto request = peers::messages::Request();
+    auto& ended = *request.mutable_ended_turn();
+    ended.set_account(key.account);
+    ended.set_program(key.program);
+    ended.set_returned_tokens(returnedTokens);
+    if (turn) {
+        ended.set_record(encodeTurn(*turn));
+    }
+    asio::co_spawn(
+        m_executor,
+        [this, home = std::move(home), request = std::move(request)]() mutable -> Async<void> {
+            // Where this is lost the tokens count as spent, and the turn is found in the store.
+            const auto response = co_await m_peers.call(std::move(home), std::move(request), s_homeTimeout);
+            static_cast<void>(response);
+        },
+        asio::detached);
+}
+
+auto TurnJournal::remember(const std::string& record) -> void
+{
+    if (auto turn = decodeTurn(record)) {
+        m_cache.put(std::move(turn));
+    }
 }
 
 auto TurnJournal::findAncestors(TurnPtr turn) -> Async<std::optional<std::vector<TurnPtr>>>
@@ -326,6 +406,15 @@
         std::vector<TurnPtr> turns;
         std::size_t open = 0;
     };
+    auto missing = std::vector<std::string>();
+    for (const auto& ancestor : turn->ancestors) {
+        if (!findHere(ancestor.id)) {
+            missing.push_back(ancestor.id);
+        }
+    }
+    if (!missing.empty()) {
+        co_await askHome(turn->program, std::move(missing));
+    }
     const auto search = std::make_shared<Search>(m_executor);
     search->turns.resize(turn->ancestors.size());
     for (auto index = std::size_t{0}; index < turn->ancestors.size(); ++index) {
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -55,6 +55,12 @@
     /// A turn that this host holds in memory; null where it does not.
     auto findHere(std::string_view id) -> TurnPtr;
 
+    /// Tells the program's home of a turn that ended here, and gives it the tokens that the turn did not use.
+    auto tellHome(const ProgramKey& key, TurnPtr turn, std::uint64_t returnedTokens) -> void;
+
+    /// Takes a turn that ended at another host into memory.
+    auto remember(const std::string& record) -> void;
+
     /// Holds turns for another host until it has written them.
     auto keepFor(const std::string& origin, const std::vector<std::string>& records) -> void;
 
@@ -99,6 +105,20 @@
         framework::Instant since{};
     };
 
+    /// A read of the store that goes on while other hosts are asked.
+    struct RowRead
+    {
+        explicit RowRead(framework::asio::any_io_executor executor)
+            : ended(std::move(executor))
+        {}
+
+        framework::Signal ended;
+        bool hasEnded = false;
+        bool isAnswered = false; ///< the store said what it holds
+        TurnPtr turn;
+    };
+    using RowReadPtr = std::shared_ptr<RowRead>;
+
     struct Batch
     {
         store::Transaction transaction;
@@ -115,8 +135,13 @@
     auto readRow(std::string id, std::uint32_t partition) -> framework::AsyncResult<TurnPtr>;
     auto readAnywhere(std::string id, std::uint32_t likely) -> framework::AsyncResult<TurnPtr>;
     auto findAncestor(Ancestor ancestor) -> framework::Async<TurnPtr>;
+    auto takeTurns(const peers::messages::Response& response) -> void;
+    auto askHome(std::string program, std::vector<std::string> ids) -> framework::Async<void>;
     auto askOthers(std::string id) -> framework::Async<TurnSearch>;
 
+    /// Reads a row; returns after a while also where the store has not answered yet.
+    auto readPatiently(std::string id, std::uint32_t partition) -> framework::Async<RowReadPtr>;
+
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
     store::IStore& m_store;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -153,6 +153,7 @@
         framework::logEvent(framework::LogLevel::Info, "peers", "host_heard",
                             {{"host", heartbeat.host()}, {"address", heartbeat.address()}, {"dataCentre", heartbeat.data_centre()}});
     }
+    m_suspects.erase(heartbeat.address());
     for (const auto& address : heartbeat.known_addresses()) {
         m_table.learn(address, now);
     }
@@ -201,40 +202,68 @@
     }
 }
 
+auto FleetLink::heard() const -> std::vector<const peers::Peer*>
+{
+    auto peers = m_table.heard(m_clock.now());
+    std::erase_if(peers, [this](const auto* peer) { return m_suspects.contains(peer->address); });
+    return peers;
+}
+
 auto FleetLink::everyone() const -> std::vector<std::string>
 {
     auto near = std::vector<std::string>();
     auto far = std::vector<std::string>();
-    for (const auto* peer : m_table.heard(m_clock.now())) {
+    for (const auto* peer : heard()) {
         (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
     }
     near.insert(near.end(), far.begin(), far.end());
     return near;
 }
 
-auto FleetLink::keepers(std::string_view key) const -> std::vector<std::string>
+auto FleetLink::rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>
 {
-    auto near = std::vector<std::pair<std::uint64_t, std::string>>();
-    auto far = near;
-    for (const auto* peer : m_table.heard(m_clock.now())) {
-        if (!peer->last.is_leaving()) {
-            const auto rank = framework::hash64(key, framework::hash64(peer->address));
-            (peer->last.data_centre() == m_settings.dataCentre ? near : far).emplace_back(rank, peer->address);
+    auto ranked = std::vector<std::pair<std::uint64_t, std::string>>();
+    const auto add = [&](const std::string& address) {
+        ranked.emplace_back(framework::hash64(key, framework::hash64(address)), address);
+    };
+    for (const auto* peer : heard()) {
+        if (!peer->last.is_leaving() && (peer->last.data_centre() == m_settings.dataCentre) == isOwnDataCentre) {
+            add(peer->address);
         }
     }
-    std::ranges::sort(near);
-    std::ranges::sort(far);
+    if (isOwnDataCentre && !m_isLeaving) {
+        add(m_settings.peerAddress);
+    }
+    std::ranges::sort(ranked);
+    auto addresses = std::vector<std::string>();
+    for (auto& [rank, address] : ranked) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
+auto FleetLink::home(std::string_view program) const -> std::string
+{
+    const auto near = rankedBy(program, true);
+    return near.empty() ? m_settings.peerAddress : near.front();
+}
+
+auto FleetLink::keepers(std::string_view program) const -> std::vector<std::string>
+{
+    auto near = rankedBy(program, true);
+    std::erase(near, m_settings.peerAddress);
+    const auto far = rankedBy(program, false);
     auto chosen = std::vector<std::string>();
     if (!far.empty()) {
-        chosen.push_back(far.front().second);
+        chosen.push_back(far.front());
     }
-    for (const auto& [rank, address] : near) {
+    for (const auto& address : near) {
         if (chosen.size() < 2) {
             chosen.push_back(address);
         }
     }
     if (chosen.size() < 2 && far.size() > 1) {
-        chosen.push_back(far[1].second);
+        chosen.push_back(far[1]);
     }
     return chosen;
 }
@@ -243,7 +272,7 @@
 {
     auto near = std::vector<std::string>();
     auto far = std::vector<std::string>();
-    for (const auto* peer : m_table.heard(m_clock.now())) {
+    for (const auto* peer : heard()) {
         if (peer->last.reaches_store() && !peer->last.is_leaving()) {
             (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
         }
@@ -261,7 +290,7 @@
 
 auto FleetLink::isAnyoneSilent() const -> bool
 {
-    return m_table.heardShare(m_clock.now()) < 1;
+    return !m_suspects.empty() || m_table.heardShare(m_clock.now()) < 1;
 }
 
 auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
@@ -274,7 +303,12 @@
 auto FleetLink::call(std::string address, messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
 {
     m_metrics.count("peer_calls");
-    co_return co_await m_port.call(std::move(address), std::move(request), timeout);
+    auto response = co_await m_port.call(address, std::move(request), timeout);
+    if (!response) {
+        m_metrics.count("peer_calls_failed");
+        m_suspects.insert(address); // Nobody waits for it again until it is heard.
+    }
+    co_return response;
 }
 
 auto FleetLink::onRequest(messages::Request request) -> Async<messages::Response>
@@ -287,23 +321,25 @@
     case messages::Request::kChanges:
         co_return answerChanges(request.changes());
     case messages::Request::kTurnQuery:
-        if (const auto turn = m_state.journal->findHere(request.turn_query().id())) {
-            response.set_turn(programs::encodeTurn(*turn));
+        for (const auto& id : request.turn_query().ids()) {
+            if (const auto turn = m_state.journal->findHere(id)) {
+                response.add_turns(programs::encodeTurn(*turn));
+            }
         }
         break;
+    case messages::Request::kEndedTurn: {
+        const auto& ended = request.ended_turn();
+        m_state.budgets->takeBack({.account = ended.account(), .program = ended.program()}, ended.returned_tokens());
+        m_state.journal->remember(ended.record());
+        break;
+    }
     case messages::Request::kKeptTurns: {
         const auto& kept = request.kept_turns();
         m_state.journal->keepFor(kept.origin(), {kept.records().begin(), kept.records().end()});
         break;
     }
-    case messages::Request::kGrantQuery: {
-        const auto& query = request.grant_query();
-        const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
-        response.set_knows_program(m_state.budgets->knows(key));
-        response.set_granted(m_state.budgets->giveAway(key, query.tokens()));
-        response.set_reserved(m_state.budgets->reserved(key));
-        break;
-    }
+    case messages::Request::kGrantQuery:
+        co_return co_await answerGrant(request.grant_query());
     case messages::Request::BODY_NOT_SET:
         framework::logEvent(framework::LogLevel::Warning, "peers", "request_unknown");
         break;
@@ -311,6 +347,22 @@
     co_return response;
 }
 
+auto FleetLink::answerGrant(messages::GrantQuery query) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
+    response.set_knows_program(m_state.budgets->knows(key));
+    if (query.may_take_more()) {
+        const auto reservation = co_await m_state.budgets->reserveFor(key, query.budget(), query.tokens(), query.is_first_turn());
+        response.set_granted(reservation.tokens);
+        response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
+    } else {
+        response.set_granted(m_state.budgets->giveAway(key, query.tokens()));
+    }
+    response.set_reserved(m_state.budgets->reserved(key));
+    co_return response;
+}
+
 auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
 {
     auto response = messages::Response();
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -13,6 +13,8 @@
 #include "serving/quarantine.h"
 #include "store/routedstore.h"
 
+#include <set>
+
 namespace laburnummill::serving {
 
 /// What this host shares with others, and takes from them.
@@ -45,7 +47,8 @@
     auto sayGoodbye() -> void;
 
     auto everyone() const -> std::vector<std::string> override;
-    auto keepers(std::string_view key) const -> std::vector<std::string> override;
+    auto home(std::string_view program) const -> std::string override;
+    auto keepers(std::string_view program) const -> std::vector<std::string> override;
     auto storeHelpers() const -> std::vector<std::string> override;
     auto isAnyoneSilent() const -> bool override;
     auto hasWrittenAll(std::string_view address) const -> bool override;
@@ -63,6 +66,9 @@
         Backends,
     };
 
+    auto heard() const -> std::vector<const peers::Peer*>;
+    auto rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>;
+    auto answerGrant(peers::messages::GrantQuery query) -> framework::Async<peers::messages::Response>;
     auto beatLoop() -> framework::Async<void>;
     auto makeHeartbeat() const -> peers::messages::Heartbeat;
     auto sendToAll() -> void;
@@ -80,6 +86,7 @@
     peers::PeerTable m_table;
     peers::PeerPort m_port;
     std::uint64_t m_sequence = 0;
+    std::set<std::string, std::less<>> m_suspects; ///< did not answer a call, and were not heard since
     bool m_isReady = false;
     bool m_isLeaving = false;
     bool m_isStopped = false;
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -340,8 +340,9 @@
     turn->tokens = static_cast<int>(static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent());
     turn->backend = backend->entry.id;
     const auto began = m_parts.clock.now();
+    m_turn = std::move(turn);
     settleTurn();
-    const auto outcome = co_await m_parts.journal.commit(std::move(turn), m_request.turn.mostTokens);
+    const auto outcome = co_await m_parts.journal.commit(m_turn, m_request.turn.mostTokens);
     noteStage("commit", began);
     m_commit = framework::nameOf(programs::s_commitOutcomeNames, outcome);
     m_parts.metrics.count("turn_commits", {{"outcome", m_commit}});
@@ -354,8 +355,12 @@
         return;
     }
     const auto begunEvents = m_events.events() + (m_events.isBetweenEvents() ? 0 : 1);
-    m_parts.budgets.settle(programKey(), m_reservedTokens, static_cast<std::uint64_t>(begunEvents) * tokensPerEvent());
+    const auto left =
+        m_parts.budgets.settle(programKey(), m_reservedTokens, static_cast<std::uint64_t>(begunEvents) * tokensPerEvent());
     m_reservedTokens = 0;
+    if (left > 0 || m_turn) {
+        m_parts.journal.tellHome(programKey(), m_turn, left);
+    }
 }
 
 auto RequestRun::onHead(const http::response_header<>& head) -> Async<bool>
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -88,6 +88,7 @@
     std::vector<programs::Ancestor> m_ancestors;
     std::string m_input; ///< of a turn: its own input, without those before it
     std::uint64_t m_reservedTokens = 0;
+    programs::TurnPtr m_turn; ///< once it has ended
     EventScanner m_events;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
