Programs under way wait for their account's limit; those that begin leave it a part

Change: a request that begins a program needs a part of the bucket beyond its own token, one that goes on waits up to 0.7 s; entries of a row never shrink, so exhaustion is final.

--- a/src/accounts/fleetlimiter.cpp
+++ b/src/accounts/fleetlimiter.cpp
@@ -14,6 +14,11 @@
 /// A new host knows nothing of what was admitted before it: its bucket starts with this much of the rate.
 constexpr auto s_startingSeconds = 0.5;
 
+/// What programs that begin leave to those under way: what these use in the time between two of their turns, and no
+/// more than a part of the burst.
+constexpr auto s_keptSeconds = 0.4;
+constexpr auto s_keptShare = 0.4;
+
 /// A bucket may owe this much of its rate for what other hosts admitted at the same time.
 constexpr auto s_largestDebtSeconds = 2.0;
 
@@ -54,7 +59,7 @@
     m_heardShare = share;
 }
 
-auto FleetLimiter::admit(std::string_view account, Instant now) -> bool
+auto FleetLimiter::admit(std::string_view account, Stage stage, Instant now) -> bool
 {
     const auto found = m_buckets.find(account);
     if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
@@ -62,7 +67,7 @@
     }
     auto& bucket = found->second;
     fill(bucket, now);
-    if (bucket.tokens < 1) {
+    if (bucket.tokens < needed(bucket, stage)) {
         return false;
     }
     bucket.tokens -= 1;
@@ -93,7 +98,7 @@
     bucket.tokens = std::max(bucket.tokens - static_cast<double>(requests), -bucket.ratePerSecond * s_largestDebtSeconds);
 }
 
-auto FleetLimiter::timeToNext(std::string_view account, Instant now) -> Milliseconds
+auto FleetLimiter::timeToNext(std::string_view account, Stage stage, Instant now) -> Milliseconds
 {
     const auto found = m_buckets.find(account);
     if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
@@ -101,11 +106,12 @@
     }
     auto& bucket = found->second;
     fill(bucket, now);
-    if (bucket.tokens >= 1) {
+    const auto missing = needed(bucket, stage) - bucket.tokens;
+    if (missing <= 0) {
         return Milliseconds(0);
     }
     const auto rate = std::max(bucket.ratePerSecond * m_heardShare, 0.001);
-    return Milliseconds(static_cast<std::int64_t>(std::ceil((1 - bucket.tokens) / rate * 1'000)));
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(missing / rate * 1'000)));
 }
 
 auto FleetLimiter::fill(Bucket& bucket, Instant now) const -> void
@@ -115,8 +121,18 @@
     }
     const auto seconds = std::chrono::duration<double>(now - bucket.filledAt).count();
     bucket.filledAt = now;
-    const auto capacity = std::max(bucket.burst * m_heardShare, 1.0);
-    bucket.tokens = std::min(bucket.tokens + bucket.ratePerSecond * m_heardShare * seconds, std::max(capacity, 1.0));
+    bucket.tokens = std::min(bucket.tokens + bucket.ratePerSecond * m_heardShare * seconds, capacity(bucket));
+}
+
+auto FleetLimiter::capacity(const Bucket& bucket) const -> double
+{
+    return std::max(bucket.burst * m_heardShare, 1.0);
+}
+
+auto FleetLimiter::needed(const Bucket& bucket, Stage stage) const -> double
+{
+    const auto kept = std::min(bucket.ratePerSecond * s_keptSeconds, bucket.burst * s_keptShare) * m_heardShare;
+    return stage == Stage::GoesOn ? 1 : std::max(1.0, std::min(1 + kept, capacity(bucket)));
 }
 
 } // namespace laburnummill::accounts
--- a/src/accounts/fleetlimiter.h
+++ b/src/accounts/fleetlimiter.h
@@ -12,6 +12,14 @@
 /// One count over all hosts: how many requests a host has admitted for each client account since it started.
 using AdmittedCounts = std::map<std::string, std::uint64_t, std::less<>>;
 
+/// What a request is part of. A program that has begun is worth finishing: it may use the last of an account's limit,
+/// while one that has not begun leaves a part of it to those under way.
+enum class Stage
+{
+    Begins,
+    GoesOn,
+};
+
 /// Keeps client accounts within rate and burst over all hosts together.
 ///
 /// Each host keeps a bucket for the whole fleet and takes from it what it admits itself and what the others say
@@ -30,7 +38,7 @@
     auto setHeardShare(double share, framework::Instant now) -> void;
 
     /// Admits one request where the account's limit holds it.
-    auto admit(std::string_view account, framework::Instant now) -> bool;
+    auto admit(std::string_view account, Stage stage, framework::Instant now) -> bool;
 
     /// A request that was admitted has surely not run.
     auto giveBack(std::string_view account, framework::Instant now) -> void;
@@ -39,7 +47,7 @@
     auto takeElsewhere(std::string_view account, std::int64_t requests, framework::Instant now) -> void;
 
     /// Time until one more request would be admitted; zero where it would be now.
-    auto timeToNext(std::string_view account, framework::Instant now) -> framework::Milliseconds;
+    auto timeToNext(std::string_view account, Stage stage, framework::Instant now) -> framework::Milliseconds;
 
     /// What this host has admitted since it started.
     auto admitted() const -> const AdmittedCounts& { return m_admitted; }
@@ -54,6 +62,8 @@
     };
 
     auto fill(Bucket& bucket, framework::Instant now) const -> void;
+    auto capacity(const Bucket& bucket) const -> double;
+    auto needed(const Bucket& bucket, Stage stage) const -> double;
 
     std::map<std::string, Bucket, std::less<>> m_buckets;
     AdmittedCounts m_admitted;
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -29,6 +29,9 @@
 constexpr auto s_settlePatience = Milliseconds(900);
 constexpr auto s_settlePoll = Milliseconds(100);
 
+/// Turns take a quarter of a second: hosts that had none to give may have some after this.
+constexpr auto s_askAgainAfter = Milliseconds(300);
+
 constexpr auto s_conflictTries = 8;
 
 /// Milliseconds; a write takes about ten.
@@ -121,6 +124,8 @@
     program->wanted += most;
     const auto deadline = m_clock.now() + s_settlePatience;
     auto reservation = Reservation();
+    auto isOthersUnderWay = false;
+    auto askAgainAt = m_clock.now();
     while (true) {
         if (program->holding.reserve(most)) {
             reservation = {.outcome = BudgetOutcome::Reserved, .tokens = most};
@@ -136,7 +141,11 @@
         }
         const auto isAway = isStoreAway(key);
         const auto last = m_refills[key].last;
-        const auto isSomeUnderWay = co_await askOthers(key, program, most) || program->holding.reserved() > 0;
+        if (m_clock.now() >= askAgainAt) {
+            isOthersUnderWay = co_await askOthers(key, program, most);
+            askAgainAt = m_clock.now() + s_askAgainAfter;
+        }
+        const auto isSomeUnderWay = isOthersUnderWay || program->holding.reserved() > 0;
         if (program->holding.free() >= most) {
             continue;
         }
@@ -212,7 +221,6 @@
 
 auto BudgetLedger::refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> Async<Refill>
 {
-    auto isFresh = false;
     for (auto attempt = 0; attempt < s_conflictTries; ++attempt) {
         if (program->isRowBeingWritten) {
             co_await program->changed.wait(s_storePatience);
@@ -224,11 +232,11 @@
         }
         const auto left = m_table.left(*program);
         if (left < most - free) {
-            if (isFresh) {
+            // Entries of a row never get smaller: what it left once it will never exceed.
+            if (program->isRowKnown) {
                 co_return Refill::Exhausted;
             }
-            isFresh = co_await readRow(key, program);
-            if (!isFresh) {
+            if (!co_await readRow(key, program)) {
                 co_return Refill::Failed;
             }
             continue;
@@ -258,7 +266,6 @@
         }
         const auto& rows = reply.value().currentRows;
         m_table.conflicted(*program, rows.empty() ? nullptr : &rows.front());
-        isFresh = true;
         // Hosts that contend for a row come back at different times.
         auto pause = asio::steady_timer(m_executor, Milliseconds(m_random() % (s_contentionPause * (attempt + 1))));
         co_await pause.async_wait(asio::use_awaitable);
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -30,6 +30,11 @@
 constexpr auto s_serverPatience = Milliseconds(800);
 constexpr auto s_serverPoll = Milliseconds(40);
 
+/// A program under way waits so long for its account's limit: a refused call would end it, and what was done for it
+/// would be lost.
+constexpr auto s_limitPatience = Milliseconds(700);
+constexpr auto s_limitPoll = Milliseconds(10);
+
 /// When callers should come back: after a place has become free, or another host has taken over.
 constexpr auto s_retrySoon = Milliseconds(150);
 constexpr auto s_retryUnready = Milliseconds(400);
@@ -51,9 +56,10 @@
     if (!refusal) {
         startDeadline();
         watchCaller();
-        if (isTurn()) {
-            refusal = co_await prepareTurn();
-        }
+        refusal = co_await takeFromLimit();
+    }
+    if (!refusal && isTurn()) {
+        refusal = co_await prepareTurn();
     }
     if (!refusal) {
         refusal = co_await serve();
@@ -96,17 +102,38 @@
     if (m_service == nullptr) {
         return Refusal::NoServer;
     }
-    const auto now = m_parts.clock.now();
-    if (m_parts.quarantine.isHeld(fingerprintOf(m_account, m_request.target, m_request.body), now)) {
+    if (m_parts.quarantine.isHeld(fingerprintOf(m_account, m_request.target, m_request.body), m_parts.clock.now())) {
         return Refusal::Quarantined;
     }
-    if (!m_account.empty()) {
-        if (!m_parts.limiter.admit(m_account, now)) {
-            return Refusal::RateLimited;
+    return std::nullopt;
+}
+
+auto RequestRun::stage() const -> accounts::Stage
+{
+    const auto begins = isTurn() ? m_request.turn.previousTurn.empty() : m_request.turn.program.empty();
+    return begins ? accounts::Stage::Begins : accounts::Stage::GoesOn;
+}
+
+auto RequestRun::takeFromLimit() -> Async<std::optional<Refusal>>
+{
+    if (m_account.empty()) {
+        co_return std::nullopt;
+    }
+    const auto began = m_parts.clock.now();
+    const auto patience = stage() == accounts::Stage::GoesOn ? std::min(s_limitPatience, timeLeft() / 3) : Milliseconds(0);
+    while (!m_parts.limiter.admit(m_account, stage(), m_parts.clock.now())) {
+        const auto wait = m_parts.limiter.timeToNext(m_account, stage(), m_parts.clock.now());
+        if (m_parts.clock.now() + wait > began + patience || m_fate->hasCallerLeft) {
+            co_return Refusal::RateLimited;
         }
-        m_isAdmitted = true;
+        auto pause = asio::steady_timer(m_parts.executor, std::max(wait, s_limitPoll));
+        co_await pause.async_wait(asio::use_awaitable);
     }
-    return std::nullopt;
+    m_isAdmitted = true;
+    if (m_parts.clock.now() != began) {
+        noteStage("limit", began);
+    }
+    co_return std::nullopt;
 }
 
 auto RequestRun::prepareTurn() -> Async<std::optional<Refusal>>
@@ -387,7 +414,7 @@
 {
     switch (refusal) {
     case Refusal::RateLimited:
-        return std::max(m_parts.limiter.timeToNext(m_account, m_parts.clock.now()), Milliseconds(50));
+        return std::max(m_parts.limiter.timeToNext(m_account, stage(), m_parts.clock.now()), Milliseconds(50));
     case Refusal::NoConfiguration:
     case Refusal::StoreAway:
         return s_retryUnready;
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -46,6 +46,8 @@
 
 private:
     auto admit() -> std::optional<Refusal>;
+    auto takeFromLimit() -> framework::Async<std::optional<Refusal>>;
+    auto stage() const -> accounts::Stage;
     auto prepareTurn() -> framework::Async<std::optional<Refusal>>;
     auto serve() -> framework::Async<std::optional<Refusal>>;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
