--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -58,6 +58,8 @@
     /// Drops hosts that were not heard for long.
     auto forget(framework::Instant now) -> void;
 
+    auto knows(std::string_view address) const -> bool { return m_peers.contains(address); }
+
     /// Addresses to send heartbeats to.
     auto addresses() const -> std::vector<std::string>;
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -241,8 +241,8 @@
             }
             continue;
         }
-        // One turn more than what waits, so that the next one need not ask.
-        const auto want = std::min(left, std::max(program->wanted, most) - std::min(free, most) + most);
+        const auto waiting = std::max(program->wanted, most);
+        const auto want = std::min(left, waiting - std::min(free, waiting) + ahead(*program, left, most));
         auto change = m_table.change(key, *program, want);
         auto transaction = store::Transaction();
         transaction.conditions.push_back(change.condition);
@@ -273,6 +273,14 @@
     co_return Refill::Contended;
 }
 
+auto BudgetLedger::ahead(const Program& program, std::uint64_t left, std::uint64_t most) -> std::uint64_t
+{
+    // Programs use a fifth of their budgets: half of it lasts through an outage of the store, and the other half through
+    // the loss of the host that holds the first.
+    const auto isFirstGrant = program.holding.recorded() == 0;
+    return isFirstGrant ? std::max(most, left / 2 - std::min(left / 2, most)) : most;
+}
+
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
     const auto address = ProgramTable::rowOf(key);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -78,6 +78,7 @@
     auto isStoreAway(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
+    static auto ahead(const Program& program, std::uint64_t left, std::uint64_t most) -> std::uint64_t;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
     auto askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<bool>;
     auto lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere) -> Reservation;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -79,6 +79,7 @@
         refreshRunningElsewhere();
         const auto now = m_clock.now();
         m_table.forget(now);
+        std::erase_if(m_suspects, [this](const auto& address) { return !m_table.knows(address); });
         m_state.limiter.setHeardShare(m_table.heardShare(now), now);
         timer.expires_after(std::max(s_shortestBeat, s_beatPerHost * m_table.fleetSize(now)));
         co_await timer.async_wait(asio::use_awaitable);
@@ -126,7 +127,8 @@
         told->set_fingerprint(crash.fingerprint);
         told->set_crashes(crash.crashes);
     }
-    const auto addresses = m_table.addresses();
+    // Only hosts that are heard are passed on: one that is gone would be told around for ever.
+    const auto addresses = everyone();
     for (auto index = std::size_t{0}; index < std::min(addresses.size(), s_addressesTold); ++index) {
         beat.add_known_addresses(addresses[(m_sequence * s_addressesTold + index) % addresses.size()]);
     }
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -37,6 +37,8 @@
 
 /// When callers should come back: after a place has become free, or another host has taken over.
 constexpr auto s_retrySoon = Milliseconds(150);
+constexpr auto s_retryLimited = Milliseconds(300);
+constexpr auto s_retryLimitedSpread = 700U; // milliseconds
 constexpr auto s_retryUnready = Milliseconds(400);
 
 } // namespace
@@ -414,7 +416,9 @@
 {
     switch (refusal) {
     case Refusal::RateLimited:
-        return std::max(m_parts.limiter.timeToNext(m_account, stage(), m_parts.clock.now()), Milliseconds(50));
+        // Those turned away come back spread out, and not before others that were turned away earlier.
+        return std::max(m_parts.limiter.timeToNext(m_account, stage(), m_parts.clock.now()), s_retryLimited) +
+               Milliseconds(framework::hash64(m_request.id) % s_retryLimitedSpread);
     case Refusal::NoConfiguration:
     case Refusal::StoreAway:
         return s_retryUnready;
@@ -483,6 +487,10 @@
     }
     if (!m_request.turn.program.empty()) {
         fields["program"] = m_request.turn.program;
+        if (m_request.turn.hasBudget) {
+            fields["budget"] = m_request.turn.budget;
+            fields["mostTokens"] = m_request.turn.mostTokens;
+        }
     }
     if (!m_stages.empty()) {
         fields["stagesMs"] = m_stages;
