--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -127,6 +127,16 @@
     return running;
 }
 
+auto PeerTable::isAnyKnown(const Filter& filter) const -> bool
+{
+    return std::ranges::any_of(m_peers, [&filter](const auto& entry) { return filter(entry.second); });
+}
+
+auto PeerTable::isAnyHeardSince(Instant since, const Filter& filter) const -> bool
+{
+    return std::ranges::any_of(m_peers, [&](const auto& entry) { return entry.second.heardAt >= since && filter(entry.second); });
+}
+
 auto PeerTable::isHeard(const Peer& peer, Instant now) -> bool
 {
     return peer.heardAt != Instant{} && now < peer.heardAt + s_silentAfter;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -4,6 +4,7 @@
 #include "peers/fleetmessages.pb.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -58,6 +59,12 @@
     /// Drops hosts that were not heard for long.
     auto forget(framework::Instant now) -> void;
 
+    using Filter = std::function<bool(const Peer&)>;
+
+    /// Whether a host that passes `filter` is known, or was heard since a moment.
+    auto isAnyKnown(const Filter& filter) const -> bool;
+    auto isAnyHeardSince(framework::Instant since, const Filter& filter) const -> bool;
+
     auto knows(std::string_view address) const -> bool { return m_peers.contains(address); }
 
     /// Addresses to send heartbeats to.
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -37,8 +37,8 @@
 /// Milliseconds; a write takes about ten.
 constexpr auto s_contentionPause = 15U;
 
-/// A turn on lent tokens runs with this part of its most: the usual turn generates a quarter.
-constexpr auto s_leastLentShare = 0.5;
+/// A turn on lent tokens runs with this part of its most: the usual turn generates no more.
+constexpr auto s_leastLentShare = 0.25;
 
 } // namespace
 
@@ -317,7 +317,10 @@
     -> Reservation
 {
     const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && !(isKnownElsewhere && !program.isRowKnown);
-    const auto room = std::min(m_table.left(program), most - std::min(most, program.lent));
+    // A program that has no row yet began in this outage. Should all hosts lose their memory now, its turns are gone with
+    // what was lent, so that nothing goes on from them.
+    const auto limit = program.isRowKnown ? most : std::max(most, program.budget / 2);
+    const auto room = std::min(m_table.left(program), limit - std::min(limit, program.lent));
     const auto free = program.holding.free();
     const auto tokens = std::min(most, free + room);
     if (!mayLend || static_cast<double>(tokens) < s_leastLentShare * static_cast<double>(most)) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -27,7 +27,8 @@
 
 /// Keeps programs within their budgets over all hosts. A host takes tokens from the program's row ahead of what it
 /// hands out, so that what was handed out is never more than what the row says, whoever dies. While the store is away
-/// at most one turn's tokens are lent without the row: so much a budget allows beyond it, should all hosts die then.
+/// tokens are lent without the row: one turn's to programs that have a row (so much a budget allows beyond it, should all
+/// hosts die then), half of its budget to a program that begins.
 class BudgetLedger
 {
 public:
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -81,7 +81,9 @@
               .latencies = m_latencies,
               .quarantine = m_quarantine,
               .dataCentre = m_settings.dataCentre,
-              .fleetSize = [this] { return m_link.fleetSize(); }}
+              .admission = m_admission,
+              .fleetSize = [this] { return m_link.fleetSize(); },
+              .isIsolated = [this] { return m_link.isIsolated(); }}
     , m_callerSide{.parts = m_parts, .wire = outside.wire}
     , m_acceptor(context, peers::endpointOf(m_settings.callerAddress).value())
     , m_readyPort(context.get_executor(), peers::endpointOf(m_settings.readyAddress).value(),
@@ -251,7 +253,7 @@
 
 auto EntryHost::isReady() const -> bool
 {
-    return !m_isStopping && m_knowledge.isComplete();
+    return !m_isStopping && m_knowledge.isComplete() && !m_link.isIsolated();
 }
 
 auto EntryHost::closeIdleCallers() -> void
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -66,6 +66,7 @@
     programs::BudgetLedger m_budgets;
     StoreFollower m_follower;
     scheduling::BackendChoice m_choice;
+    scheduling::Admission m_admission;
     LatencyBook m_latencies;
     BackendConnections m_connections;
     Exchange m_exchange;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -29,6 +29,9 @@
 
 constexpr auto s_catchUpTimeout = Milliseconds(400);
 
+/// Four heartbeats in a row of all hosts of all other data centres missed.
+constexpr auto s_isolatedAfter = Milliseconds(800);
+
 /// Addresses told in one heartbeat: enough that a new host soon knows all.
 constexpr auto s_addressesTold = std::size_t{8};
 
@@ -71,6 +74,18 @@
     sendToAll();
 }
 
+auto FleetLink::isIsolated() const -> bool
+{
+    if (m_state.store->directWay().isSound()) {
+        return false;
+    }
+    const auto now = m_clock.now();
+    const auto isFar = [this](const peers::Peer& peer) {
+        return !peer.last.data_centre().empty() && peer.last.data_centre() != m_settings.dataCentre && !peer.last.is_leaving();
+    };
+    return m_table.isAnyKnown(isFar) && !m_table.isAnyHeardSince(now - s_isolatedAfter, isFar);
+}
+
 auto FleetLink::beatLoop() -> Async<void>
 {
     auto timer = asio::steady_timer(m_executor);
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -43,6 +43,9 @@
     auto fleetSize() const -> int { return m_table.fleetSize(m_clock.now()); }
     auto setReady(bool isReady) -> void { m_isReady = isReady; }
 
+    /// Whether this host reaches neither the store nor any host of another data centre, though there are such hosts.
+    auto isIsolated() const -> bool;
+
     /// Tells all others at once that this host leaves.
     auto sayGoodbye() -> void;
 
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -60,6 +60,9 @@
         watchCaller();
         refusal = co_await takeFromLimit();
     }
+    if (!refusal) {
+        refusal = turnAway();
+    }
     if (!refusal && isTurn()) {
         refusal = co_await prepareTurn();
     }
@@ -138,6 +141,19 @@
     co_return std::nullopt;
 }
 
+auto RequestRun::turnAway() -> std::optional<Refusal>
+{
+    if (!isTurn() || stage() != accounts::Stage::Begins) {
+        return std::nullopt;
+    }
+    const auto now = m_parts.clock.now();
+    if (m_parts.isIsolated() && m_parts.admission.isFirstVisit(m_request.turn.program, now)) {
+        return Refusal::Isolated;
+    }
+    const auto servers = m_parts.knowledge.backends().available(m_service->name);
+    return m_parts.admission.mayBegin(servers, m_route->priority, now) ? std::nullopt : std::optional(Refusal::ServersFull);
+}
+
 auto RequestRun::prepareTurn() -> Async<std::optional<Refusal>>
 {
     m_input = m_request.body;
@@ -425,10 +441,12 @@
     case Refusal::TurnUnknown:
     case Refusal::BudgetUnknown:
     case Refusal::NoServer:
-    case Refusal::ServersFull:
     case Refusal::NotRun:
     case Refusal::TimedOutUnsent:
+    case Refusal::Isolated:
         return s_retrySoon;
+    case Refusal::ServersFull:
+        return s_retryLimited + Milliseconds(framework::hash64(m_request.id) % s_retryLimitedSpread);
     default:
         return std::nullopt;
     }
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -4,6 +4,7 @@
 #include "framework/metrics/metrics.h"
 #include "programs/budgetledger.h"
 #include "programs/turnjournal.h"
+#include "scheduling/admission.h"
 #include "scheduling/backendchoice.h"
 #include "serving/eventscanner.h"
 #include "serving/exchange.h"
@@ -30,7 +31,9 @@
     LatencyBook& latencies;
     Quarantine& quarantine;
     std::string dataCentre;
+    scheduling::Admission& admission;
     std::function<int()> fleetSize;
+    std::function<bool()> isIsolated;
 };
 
 /// The life of one request: what it may do, where it is sent, and what its caller is told.
@@ -57,6 +60,7 @@
     auto settleTurn() -> void;
     auto programKey() const -> programs::ProgramKey;
     auto tokensPerEvent() const -> std::uint64_t;
+    auto turnAway() -> std::optional<Refusal>;
     auto chooseBackend() -> backends::BackendPtr;
     auto mayTryAgain(const AttemptResult& result) const -> bool;
     auto refusalAfter(const std::optional<AttemptResult>& last) const -> Refusal;
--- a/src/serving/servingerrors.cpp
+++ b/src/serving/servingerrors.cpp
@@ -29,6 +29,7 @@
     case Refusal::TooLate:
     case Refusal::Quarantined:
     case Refusal::StoreAway:
+    case Refusal::Isolated:
     case Refusal::NotRun:
     case Refusal::TimedOutUnsent:
         return 503;
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -21,6 +21,7 @@
     TooLate,          ///< it cannot be answered in the time that it has
     Quarantined,      ///< it crashed the servers that ran it
     StoreAway,        ///< no more turns can be kept
+    Isolated,         ///< another data centre can serve it better
     NotRun,           ///< every server that was tried said that it did not run it
     Lost,             ///< it may have run, its answer is lost
     TimedOut,         ///< it may have run, no answer in time
@@ -31,7 +32,7 @@
 /// Status of the answer to `refusal`; 429, 402, 404 and 503 say that the request was not run.
 auto statusOf(Refusal refusal) -> unsigned;
 
-inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 19>{{
+inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 20>{{
     {Refusal::NoConfiguration, "no_configuration"},
     {Refusal::UnknownRoute, "unknown_route"},
     {Refusal::UnknownKey, "unknown_key"},
@@ -46,6 +47,7 @@
     {Refusal::TooLate, "too_late"},
     {Refusal::Quarantined, "quarantined"},
     {Refusal::StoreAway, "store_away"},
+    {Refusal::Isolated, "isolated"},
     {Refusal::NotRun, "not_run"},
     {Refusal::Lost, "lost"},
     {Refusal::TimedOut, "timed_out"},
