--- a/src/accounts/fleetlimiter.cpp
+++ b/src/accounts/fleetlimiter.cpp
@@ -1,5 +1,7 @@
 #include "accounts/fleetlimiter.h"
 
+#include "framework/logging/log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,8 +18,8 @@
 
 /// What programs that begin leave to those under way: what these use in the time between two of their turns, and no
 /// more than a part of the burst.
-constexpr auto s_keptSeconds = 0.4;
-constexpr auto s_keptShare = 0.4;
+constexpr auto s_keptSeconds = 0.25;
+constexpr auto s_keptShare = 0.25;
 
 /// A bucket may owe this much of its rate for what other hosts admitted at the same time.
 constexpr auto s_largestDebtSeconds = 2.0;
@@ -37,6 +39,10 @@
     if (bucket.ratePerSecond == 0 && !isNew) {
         bucket.tokens = std::min(burst, ratePerSecond * s_startingSeconds);
     }
+    if (bucket.ratePerSecond != ratePerSecond || bucket.burst != burst) {
+        framework::logEvent(framework::LogLevel::Info, "accounts", "limit_in_force",
+                            {{"account", account}, {"ratePerSecond", ratePerSecond}, {"burst", burst}, {"tokens", bucket.tokens}});
+    }
     bucket.ratePerSecond = ratePerSecond;
     bucket.burst = burst;
     bucket.tokens = std::min(bucket.tokens, burst);
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -37,8 +37,8 @@
 
 /// When callers should come back: after a place has become free, or another host has taken over.
 constexpr auto s_retrySoon = Milliseconds(150);
-constexpr auto s_retryLimited = Milliseconds(300);
-constexpr auto s_retryLimitedSpread = 700U; // milliseconds
+constexpr auto s_retryLimited = Milliseconds(150);
+constexpr auto s_retryLimitedSpread = 500U; // milliseconds
 constexpr auto s_retryUnready = Milliseconds(400);
 
 } // namespace
