A quarter lent of large budgets only; others keep it free while in doubt

Ruled out: counting at one home. Change: more than one turn is lent of budgets above four turns only, a quarter; homes keep that free for 10 s after any host was silent or without a store. Not shown: all hosts losing their memory in the same outage in which a large budget was lent.

--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -33,6 +33,9 @@
     /// Whether a host that may be serving is not heard now.
     virtual auto isAnyoneSilent() const -> bool = 0;
 
+    /// Whether a host that is heard does not reach the store, or holds turns that the store lacks.
+    virtual auto isStoreMissedByAny() const -> bool = 0;
+
     /// Whether the host at `address` is heard and has written all of its turns.
     virtual auto hasWrittenAll(std::string_view address) const -> bool = 0;
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -32,6 +32,18 @@
 /// Turns take a quarter of a second: hosts that had none to give may have some after this.
 constexpr auto s_askAgainAfter = Milliseconds(300);
 
+/// Budgets of more turns than this are large: a quarter of them may be lent to a program that begins in an outage.
+constexpr auto s_largeBudgetTurns = std::uint64_t{4};
+constexpr auto s_lentPart = std::uint64_t{4};
+
+/// Hosts that were cut off or without a store record what they lent within this after their return.
+constexpr auto s_doubtTime = Milliseconds(10'000);
+
+auto lendingLimit(std::uint64_t budget, std::uint64_t most) -> std::uint64_t
+{
+    return budget > s_largeBudgetTurns * most ? std::max(most, budget / s_lentPart) : most;
+}
+
 constexpr auto s_conflictTries = 8;
 
 /// Milliseconds; a write takes about ten.
@@ -230,7 +242,11 @@
         if (free >= most) {
             co_return Refill::Done;
         }
-        const auto left = m_table.left(*program);
+        const auto inRow = m_table.left(*program);
+        const auto left = inRow - std::min(inRow, possiblyLent(*program, most));
+        if (left < most - free && inRow >= most - free) {
+            co_return Refill::Contended; // Not spent for sure: others may yet say that they lent nothing.
+        }
         if (left < most - free) {
             // Entries of a row never get smaller: what it left once it will never exceed.
             if (program->isRowKnown) {
@@ -281,6 +297,16 @@
     return isFirstGrant ? std::max(most, left / 2 - std::min(left / 2, most)) : most;
 }
 
+auto BudgetLedger::possiblyLent(const Program& program, std::uint64_t most) -> std::uint64_t
+{
+    const auto now = m_clock.now();
+    if (m_isStoreSlow || m_peers.isAnyoneSilent() || m_peers.isStoreMissedByAny()) {
+        m_doubtUntil = now + s_doubtTime;
+    }
+    const auto limit = lendingLimit(program.budget, most);
+    return now < m_doubtUntil && limit > most ? limit : 0; // One turn's tokens a budget allows beyond it.
+}
+
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
     const auto address = ProgramTable::rowOf(key);
@@ -319,7 +345,7 @@
     const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && !(isKnownElsewhere && !program.isRowKnown);
     // A program that has no row yet began in this outage. Should all hosts lose their memory now, its turns are gone with
     // what was lent, so that nothing goes on from them.
-    const auto limit = program.isRowKnown ? most : std::max(most, program.budget / 2);
+    const auto limit = program.isRowKnown ? most : lendingLimit(program.budget, most);
     const auto room = std::min(m_table.left(program), limit - std::min(limit, program.lent));
     const auto free = program.holding.free();
     const auto tokens = std::min(most, free + room);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -27,8 +27,8 @@
 
 /// Keeps programs within their budgets over all hosts. A host takes tokens from the program's row ahead of what it
 /// hands out, so that what was handed out is never more than what the row says, whoever dies. While the store is away
-/// tokens are lent without the row: one turn's to programs that have a row (so much a budget allows beyond it, should all
-/// hosts die then), half of its budget to a program that begins.
+/// tokens are lent without the row: one turn's (so much a budget allows beyond it, should all hosts die then), or a
+/// quarter of its budget to a program that begins with a large one.
 class BudgetLedger
 {
 public:
@@ -80,6 +80,8 @@
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
     static auto ahead(const Program& program, std::uint64_t left, std::uint64_t most) -> std::uint64_t;
+    /// Tokens that another host may have lent and not yet recorded.
+    auto possiblyLent(const Program& program, std::uint64_t most) -> std::uint64_t;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
     auto askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<bool>;
     auto lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere) -> Reservation;
@@ -90,6 +92,7 @@
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
     std::map<ProgramKey, RefillState> m_refills;
+    framework::Instant m_doubtUntil{}; ///< until then other hosts may have lent tokens that no row shows
     bool m_isStoreSlow = false;
     std::minstd_rand m_random{std::random_device()()};
 };
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -12,8 +12,8 @@
 
 /// Programs under way use engines half of their time: where the places are full, more are waiting than can be served.
 /// Between the two loads a growing part of those that begin is turned away, so that hosts do not swing together.
-constexpr auto s_freeLoad = 0.9;
-constexpr auto s_fullLoad = 1.15;
+constexpr auto s_freeLoad = 0.75;
+constexpr auto s_fullLoad = 1.0;
 
 /// Long programs are worth more than several short ones, and are turned away later.
 constexpr auto s_urgentBonus = 0.15;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -310,6 +310,11 @@
     return !m_suspects.empty() || m_table.heardShare(m_clock.now()) < 1;
 }
 
+auto FleetLink::isStoreMissedByAny() const -> bool
+{
+    return std::ranges::any_of(heard(), [](const auto* peer) { return !peer->last.reaches_store() || peer->last.unwritten_turns() > 0; });
+}
+
 auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
 {
     return std::ranges::any_of(m_table.heard(m_clock.now()), [address](const auto* peer) {
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -54,6 +54,7 @@
     auto keepers(std::string_view program) const -> std::vector<std::string> override;
     auto storeHelpers() const -> std::vector<std::string> override;
     auto isAnyoneSilent() const -> bool override;
+    auto isStoreMissedByAny() const -> bool override;
     auto hasWrittenAll(std::string_view address) const -> bool override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
     auto call(std::string address, peers::messages::Request request, framework::Milliseconds timeout)
