Tests of the entry host without the bench: decisions, adapter, stand-ins of store and engine, whole hosts on loopback

Figures: one failure on its first run: a host that had not heard the other yet answered 503 where the test wanted 404; the test now waits until hosts hear each other, the answer is right.

--- /dev/null
+++ b/src/accounts/tests/fleetlimitertest.cpp
@@ -0,0 +1,198 @@
+#include "accounts/fleetlimiter.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+using namespace laburnummill::accounts;
+using laburnummill::framework::Instant;
+using laburnummill::framework::Milliseconds;
+
+namespace {
+
+constexpr auto s_account = "pub";
+
+/// Hosts that tell each other what they admitted, 200 ms late, unless they are cut off from each other.
+class LimitedFleet
+{
+public:
+    LimitedFleet(std::size_t hosts, double rate, double burst)
+        : m_hosts(hosts)
+        , m_told(hosts, std::vector<std::int64_t>(hosts, 0))
+    {
+        for (auto& host : m_hosts) {
+            host.setLimit(s_account, rate, burst, m_now);
+        }
+        m_side.assign(hosts, 0);
+    }
+
+    auto cut(std::size_t host, int side) -> void { m_side[host] = side; }
+
+    /// Lets `perSecond` requests arrive for `seconds`, spread unevenly; returns the moments of those admitted.
+    auto run(double perSecond, int seconds) -> std::deque<Instant>
+    {
+        auto random = std::mt19937(7);
+        auto admitted = std::deque<Instant>();
+        for (auto tick = 0; tick < seconds * 100; ++tick) {
+            m_now += Milliseconds(10);
+            auto arrivals = std::poisson_distribution<int>(perSecond / 100)(random);
+            for (; arrivals > 0; --arrivals) {
+                // Half of the requests enter at the first host.
+                const auto host = random() % 2 == 0 ? 0 : random() % m_hosts.size();
+                if (m_hosts[host].admit(s_account, Stage::GoesOn, m_now)) {
+                    admitted.push_back(m_now);
+                }
+            }
+            if (tick % 20 == 0) {
+                exchange();
+            }
+        }
+        return admitted;
+    }
+
+private:
+    auto exchange() -> void
+    {
+        for (auto to = std::size_t{0}; to < m_hosts.size(); ++to) {
+            auto heard = 0;
+            for (auto from = std::size_t{0}; from < m_hosts.size(); ++from) {
+                if (m_side[to] != m_side[from]) {
+                    continue;
+                }
+                ++heard;
+                const auto& counts = m_hosts[from].admitted();
+                const auto count = counts.contains(s_account) ? static_cast<std::int64_t>(counts.find(s_account)->second) : 0;
+                if (from != to) {
+                    m_hosts[to].takeElsewhere(s_account, count - m_told[to][from], m_now);
+                }
+                m_told[to][from] = count;
+            }
+            m_hosts[to].setHeardShare(static_cast<double>(heard) / static_cast<double>(m_hosts.size()), m_now);
+        }
+    }
+
+    Instant m_now{Milliseconds(1'000'000)};
+    std::vector<FleetLimiter> m_hosts;
+    std::vector<std::vector<std::int64_t>> m_told;
+    std::vector<int> m_side;
+};
+
+/// Most requests admitted in any five seconds.
+auto mostInWindow(const std::deque<Instant>& admitted) -> std::size_t
+{
+    auto most = std::size_t{0};
+    auto first = std::size_t{0};
+    for (auto last = std::size_t{0}; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] >= Milliseconds(5'000)) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/// What the users allow for races: a tenth and twenty over rate x window + burst.
+auto allowed(double rate, double burst) -> std::size_t
+{
+    return static_cast<std::size_t>((rate * 5 + burst) * 1.1 + 20);
+}
+
+} // namespace
+
+TEST_GROUP(FleetLimiter)
+{
+    FleetLimiter limiter;
+    Instant now{Milliseconds(100'000)};
+};
+
+TEST(FleetLimiter, withoutALimitEverythingIsAdmitted)
+{
+    for (auto time = 0; time < 1'000; ++time) {
+        CHECK_TRUE(limiter.admit(s_account, Stage::Begins, now));
+    }
+}
+
+TEST(FleetLimiter, aProgramThatBeginsLeavesAPartToThoseUnderWay)
+{
+    limiter.setLimit(s_account, 40, 40, now);
+    now += Milliseconds(10'000);
+    auto begun = 0;
+    while (limiter.admit(s_account, Stage::Begins, now)) {
+        ++begun;
+    }
+    CHECK_EQUAL(30, begun);
+    auto goneOn = 0;
+    while (limiter.admit(s_account, Stage::GoesOn, now)) {
+        ++goneOn;
+    }
+    CHECK_EQUAL(10, goneOn);
+}
+
+TEST(FleetLimiter, aRequestThatHasNotRunIsGivenBack)
+{
+    limiter.setLimit(s_account, 2, 2, now);
+    now += Milliseconds(10'000);
+    CHECK_TRUE(limiter.admit(s_account, Stage::GoesOn, now));
+    CHECK_TRUE(limiter.admit(s_account, Stage::GoesOn, now));
+    CHECK_FALSE(limiter.admit(s_account, Stage::GoesOn, now));
+    limiter.giveBack(s_account, now);
+    CHECK_EQUAL(1U, limiter.admitted().find(s_account)->second);
+    CHECK_TRUE(limiter.admit(s_account, Stage::GoesOn, now));
+}
+
+TEST(FleetLimiter, saysWhenTheNextOneIsAdmitted)
+{
+    limiter.setLimit(s_account, 10, 1, now);
+    now += Milliseconds(10'000);
+    CHECK_TRUE(limiter.admit(s_account, Stage::GoesOn, now));
+    const auto wait = limiter.timeToNext(s_account, Stage::GoesOn, now);
+    CHECK_EQUAL(100, wait.count());
+    CHECK_TRUE(limiter.admit(s_account, Stage::GoesOn, now + wait));
+}
+
+TEST(FleetLimiter, aLoweredLimitBindsAtOnce)
+{
+    limiter.setLimit(s_account, 100, 100, now);
+    now += Milliseconds(10'000);
+    limiter.setLimit(s_account, 5, 5, now);
+    auto admitted = 0;
+    while (limiter.admit(s_account, Stage::GoesOn, now)) {
+        ++admitted;
+    }
+    CHECK_EQUAL(5, admitted);
+}
+
+TEST(FleetLimiter, aNewHostDoesNotBeginWithAWholeBurst)
+{
+    limiter.setLimit(s_account, 100, 100, now);
+    auto admitted = 0;
+    while (limiter.admit(s_account, Stage::GoesOn, now)) {
+        ++admitted;
+    }
+    CHECK_EQUAL(50, admitted);
+}
+
+TEST(FleetLimiter, aFleetNeverAdmitsMoreThanIsAllowedInAnyWindow)
+{
+    auto fleet = LimitedFleet(12, 100, 100);
+    CHECK_TRUE(mostInWindow(fleet.run(750, 30)) <= allowed(100, 100));
+}
+
+TEST(FleetLimiter, aFleetRefusesAlmostNothingWithinTheLimit)
+{
+    auto fleet = LimitedFleet(12, 100, 100);
+    const auto admitted = fleet.run(60, 30).size();
+    CHECK_TRUE(admitted > 1'700); // Of 1,800 on the average.
+}
+
+TEST(FleetLimiter, partsOfAFleetThatCannotHearEachOtherKeepTheLimitTogether)
+{
+    auto fleet = LimitedFleet(12, 100, 100);
+    fleet.run(750, 5);
+    for (auto host = std::size_t{0}; host < 4; ++host) {
+        fleet.cut(host, 1);
+    }
+    CHECK_TRUE(mostInWindow(fleet.run(750, 20)) <= allowed(100, 100));
+}
--- /dev/null
+++ b/src/backends/tests/backendbooktest.cpp
@@ -0,0 +1,140 @@
+#include "backends/backendbook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnummill::backends;
+using laburnummill::framework::Instant;
+using laburnummill::framework::Milliseconds;
+
+namespace {
+
+auto entry(std::string id, std::int64_t startedAt = 1) -> BackendEntry
+{
+    return {.id = std::move(id), .service = "engine", .address = "10.0.0.1:80", .dataCentre = "a", .slots = 4, .startedAt = startedAt};
+}
+
+} // namespace
+
+TEST_GROUP(BackendBook)
+{
+    BackendBook book;
+    Instant now{Milliseconds(100'000)};
+};
+
+TEST(BackendBook, drainingServersAndDrainedDataCentresGetNoNewWork)
+{
+    book.put(entry("x"), now);
+    auto leaving = entry("y");
+    leaving.isDraining = true;
+    book.put(leaving, now);
+    CHECK_EQUAL(1U, book.available("engine").size());
+
+    book.setDrainedDataCentres({"a"});
+    CHECK_EQUAL(0U, book.available("engine").size());
+    book.setDrainedDataCentres({});
+    CHECK_EQUAL(1U, book.available("engine").size());
+}
+
+TEST(BackendBook, anotherStartUnderTheSameIdIsAnotherServer)
+{
+    book.put(entry("x", 1), now);
+    const auto first = book.find("x");
+    first->running = 3;
+    book.put(entry("x", 1), now);
+    CHECK_TRUE(book.find("x") == first);
+
+    book.put(entry("x", 2), now);
+    CHECK_TRUE(first->isGone);
+    CHECK_EQUAL(0, book.find("x")->running);
+    CHECK_TRUE(book.find("x")->number != first->number);
+}
+
+TEST(BackendBook, anEntryThatIsRemovedIsGoneAtOnce)
+{
+    book.put(entry("x"), now);
+    book.remove("x", false, now);
+    CHECK_TRUE(book.find("x") == nullptr);
+}
+
+TEST(BackendBook, entriesThatLapseWithTheStoreAwayStayUntilShortlyAfterItsReturn)
+{
+    book.put(entry("back"), now);
+    book.put(entry("gone"), now);
+    book.storeLost();
+    book.remove("back", false, now);
+    book.remove("gone", false, now);
+    book.expire(now + Milliseconds(60'000));
+    CHECK_EQUAL(2U, book.available("engine").size());
+
+    // The store returns; one server renews its entry, the other does not.
+    const auto returned = now + Milliseconds(60'000);
+    book.storeRegained(returned);
+    book.put(entry("back"), returned + Milliseconds(1'500));
+    book.expire(returned + Milliseconds(2'100));
+    CHECK_EQUAL(2U, book.available("engine").size());
+    book.expire(returned + Milliseconds(2'300));
+    CHECK_EQUAL(1U, book.available("engine").size());
+    CHECK_TRUE(book.find("back") != nullptr);
+}
+
+TEST(BackendBook, aRemovalSeenRightAfterTheStoresReturnWaitsToo)
+{
+    book.put(entry("x"), now);
+    book.storeLost();
+    book.storeRegained(now);
+    book.remove("x", false, now + Milliseconds(100));
+    CHECK_TRUE(book.find("x") != nullptr);
+    book.expire(now + Milliseconds(2'300));
+    CHECK_TRUE(book.find("x") == nullptr);
+}
+
+TEST(BackendBook, aRemovalThatAHostWithAStoreSawCountsAlsoWhereTheStoreIsAway)
+{
+    book.put(entry("x"), now);
+    book.storeLost();
+    book.remove("x", true, now);
+    CHECK_TRUE(book.find("x") == nullptr);
+}
+
+TEST_GROUP(BackendHealth)
+{
+    BackendHealth health;
+    Instant now{Milliseconds(100'000)};
+};
+
+TEST(BackendHealth, anUnreachableServerIsLeftAloneForAGrowingWhile)
+{
+    health.record(ServerOutcome::Unreachable, 0, now);
+    CHECK_TRUE(health.isAvoided(now + Milliseconds(200)));
+    CHECK_FALSE(health.isAvoided(now + Milliseconds(300)));
+    health.record(ServerOutcome::Unreachable, 0, now);
+    CHECK_TRUE(health.isAvoided(now + Milliseconds(400)));
+}
+
+TEST(BackendHealth, oneBrokenAnswerIsBadLuckThreeInARowAreNot)
+{
+    health.record(ServerOutcome::Broken, 0, now);
+    health.record(ServerOutcome::Broken, 0, now);
+    CHECK_FALSE(health.isAvoided(now));
+    health.record(ServerOutcome::Broken, 0, now);
+    CHECK_TRUE(health.isAvoided(now));
+    health.record(ServerOutcome::Answered, 1, now);
+    CHECK_FALSE(health.isAvoided(now));
+}
+
+TEST(BackendHealth, aRefusalIsNoFailure)
+{
+    for (auto time = 0; time < 10; ++time) {
+        health.record(ServerOutcome::Refused, 0, now);
+    }
+    DOUBLES_EQUAL(0, health.failureShare(), 1e-9);
+    CHECK_FALSE(health.isAvoided(now));
+}
+
+TEST(BackendHealth, slownessFollowsWhatRequestsMeet)
+{
+    for (auto time = 0; time < 40; ++time) {
+        health.record(ServerOutcome::Answered, 5, now);
+    }
+    CHECK_TRUE(health.slowness() > 4);
+}
--- /dev/null
+++ b/src/peers/tests/peertabletest.cpp
@@ -0,0 +1,95 @@
+#include "peers/peertable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnummill::peers;
+using laburnummill::framework::Instant;
+using laburnummill::framework::Milliseconds;
+
+namespace {
+
+auto beat(const std::string& address, std::uint64_t incarnation, std::uint64_t sequence) -> messages::Heartbeat
+{
+    auto made = messages::Heartbeat();
+    made.set_address(address);
+    made.set_incarnation(incarnation);
+    made.set_sequence(sequence);
+    return made;
+}
+
+auto withUse(messages::Heartbeat made, std::uint64_t admitted) -> messages::Heartbeat
+{
+    auto* use = made.add_accounts();
+    use->set_account("pub");
+    use->set_admitted(admitted);
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(PeerTable)
+{
+    PeerTable table{"10.0.0.1:1"};
+    Instant now{Milliseconds(100'000)};
+};
+
+TEST(PeerTable, aHostIsHeardUntilItWasSilentForASecond)
+{
+    table.receive(beat("10.0.0.2:1", 5, 1), now);
+    CHECK_EQUAL(1U, table.heard(now + Milliseconds(900)).size());
+    CHECK_EQUAL(0U, table.heard(now + Milliseconds(1'100)).size());
+    DOUBLES_EQUAL(0.5, table.heardShare(now + Milliseconds(1'100)), 1e-9);
+}
+
+TEST(PeerTable, aHostThatStaysSilentIsForgotten)
+{
+    table.receive(beat("10.0.0.2:1", 5, 1), now);
+    table.forget(now + Milliseconds(14'000));
+    CHECK_EQUAL(2, table.fleetSize(now));
+    table.forget(now + Milliseconds(16'000));
+    CHECK_EQUAL(1, table.fleetSize(now));
+    CHECK_FALSE(table.knows("10.0.0.2:1"));
+}
+
+TEST(PeerTable, aHostThatLeavesIsNoLongerCounted)
+{
+    table.receive(beat("10.0.0.2:1", 5, 1), now);
+    auto goodbye = beat("10.0.0.2:1", 5, 2);
+    goodbye.set_is_leaving(true);
+    table.receive(goodbye, now);
+    DOUBLES_EQUAL(1, table.heardShare(now + Milliseconds(5'000)), 1e-9);
+}
+
+TEST(PeerTable, heartbeatsThatOvertookEachOtherAreIgnored)
+{
+    table.receive(beat("10.0.0.2:1", 5, 2), now);
+    CHECK_TRUE(table.receive(beat("10.0.0.2:1", 5, 1), now).isStale);
+    CHECK_TRUE(table.receive(beat("10.0.0.2:1", 4, 9), now).isStale);
+    CHECK_TRUE(table.receive(beat("10.0.0.1:1", 9, 9), now).isStale);
+}
+
+TEST(PeerTable, tellsWhatWasAdmittedSinceTheHeartbeatBefore)
+{
+    // What a host had admitted before it was first heard is no news.
+    CHECK_EQUAL(0U, table.receive(withUse(beat("10.0.0.2:1", 5, 1), 10), now).admitted.size());
+    const auto news = table.receive(withUse(beat("10.0.0.2:1", 5, 2), 13), now);
+    CHECK_EQUAL(3, news.admitted.front().requests);
+
+    // It starts anew and counts from nothing.
+    const auto restarted = table.receive(withUse(beat("10.0.0.2:1", 6, 1), 2), now);
+    CHECK_TRUE(restarted.isFirst);
+    CHECK_EQUAL(2, restarted.admitted.front().requests);
+}
+
+TEST(PeerTable, addsUpWhatHostsThatAreHeardHaveUnderWay)
+{
+    for (const auto* address : {"10.0.0.2:1", "10.0.0.3:1"}) {
+        auto made = beat(address, 5, 1);
+        auto* use = made.add_backends();
+        use->set_backend("x");
+        use->set_running(2);
+        table.receive(made, now);
+    }
+    CHECK_EQUAL(4, table.runningElsewhere(now)["x"]);
+    CHECK_EQUAL(0U, table.runningElsewhere(now + Milliseconds(2'000)).size());
+}
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -34,6 +34,12 @@
     /// Takes no new callers, ends what is under way, then stops the context.
     auto stop() -> void;
 
+    /// Whether the balancer should send callers here.
+    auto isReady() const -> bool;
+
+    /// Hosts that are heard, this one included.
+    auto hostsHeard() const -> int { return 1 + static_cast<int>(m_link.everyone().size()); }
+
     /// Takes changed settings up as far as that needs no restart.
     auto reload(HostSettings settings) -> void;
 
@@ -43,7 +49,6 @@
     auto logLoop() -> framework::Async<void>;
     auto announce() -> framework::Async<void>;
     auto stopping() -> framework::Async<void>;
-    auto isReady() const -> bool;
     auto applyLimits() -> void;
     auto closeIdleCallers() -> void;
     auto describe(std::string_view path) const -> StatusAnswer;
--- /dev/null
+++ b/src/serving/tests/entryhosttest.cpp
@@ -0,0 +1,260 @@
+#include "standins/entryfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnummill::testing;
+using laburnummill::framework::Milliseconds;
+
+namespace {
+
+/// The first turn of a program, and one that goes on from it.
+auto firstTurn(const std::string& id = "t1") -> Ask
+{
+    auto ask = Ask();
+    ask.id = id;
+    ask.body = "first input";
+    ask.headers = {{"Program-Id", "p1"}, {"Token-Budget", "1000"}, {"Token-Usage", "100,100"}};
+    return ask;
+}
+
+auto nextTurn(const std::string& id, const std::string& previous) -> Ask
+{
+    auto ask = firstTurn(id);
+    ask.body = "next input";
+    ask.headers.emplace_back("Previous-Turn", previous);
+    return ask;
+}
+
+auto call(const std::string& target, const std::string& id) -> Ask
+{
+    auto ask = Ask();
+    ask.target = target;
+    ask.id = id;
+    return ask;
+}
+
+constexpr auto s_stream = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+} // namespace
+
+TEST_GROUP(EntryHost)
+{
+    EntryFleet fleet{2};
+};
+
+TEST(EntryHost, aTurnIsServedWholeAndStoredBeforeItsEnd)
+{
+    const auto got = fleet.ask(0, firstTurn());
+    CHECK_EQUAL(200U, got.status);
+    CHECK_TRUE(got.isWhole);
+    CHECK_EQUAL(std::string(s_stream), got.body);
+    CHECK_EQUAL(1U, fleet.store().rows("turns"));
+    CHECK_EQUAL(1U, fleet.store().rows("programs"));
+}
+
+TEST(EntryHost, theEngineIsToldTheAccountAndNeverTheKey)
+{
+    fleet.ask(0, firstTurn());
+    const auto& seen = fleet.engine().requests().back();
+    CHECK_TRUE(seen["Tenant"] == "pub");
+    CHECK_TRUE(seen["Expect-Instance"] == "engine-1");
+    CHECK_TRUE(seen.find("X-Api-Key") == seen.end());
+    for (const auto& field : seen) {
+        CHECK_TRUE(field.value().find("good-key") == std::string::npos);
+    }
+}
+
+TEST(EntryHost, anotherHostGoesOnWithTheWholeHistoryByteForByte)
+{
+    fleet.ask(0, firstTurn());
+    CHECK_EQUAL(200U, fleet.ask(1, nextTurn("t2", "t1")).status);
+    CHECK_EQUAL(std::string("first inputone\ntwo\nnext input"), fleet.engine().requests().back().body());
+    CHECK_EQUAL(200U, fleet.ask(0, nextTurn("t3", "t2")).status);
+    CHECK_EQUAL(std::string("first inputone\ntwo\nnext inputone\ntwo\nnext input"), fleet.engine().requests().back().body());
+}
+
+TEST(EntryHost, aTurnThatNeverWasOrIsAnotherAccountsIsNotFound)
+{
+    fleet.ask(0, firstTurn());
+    CHECK_EQUAL(404U, fleet.ask(1, nextTurn("t2", "never")).status);
+    auto foreign = nextTurn("t3", "t1");
+    foreign.key = "other-key";
+    CHECK_EQUAL(404U, fleet.ask(1, foreign).status);
+    CHECK_EQUAL(1U, fleet.engine().requests().size());
+}
+
+TEST(EntryHost, aBudgetHoldsOverAllHosts)
+{
+    // Each turn generates 20 tokens and may generate 100.
+    auto ask = firstTurn();
+    ask.headers[1].second = "150";
+    CHECK_EQUAL(200U, fleet.ask(0, ask).status);
+    auto served = 1;
+    auto refused = 0;
+    for (auto index = 2; index < 8; ++index) {
+        auto next = nextTurn("t" + std::to_string(index), "t1");
+        next.headers[1].second = "150";
+        const auto status = fleet.ask(static_cast<std::size_t>(index % 2), next).status;
+        served += status == 200 ? 1 : 0;
+        refused += status == 402 ? 1 : 0;
+    }
+    CHECK_EQUAL(3, served); // 60 tokens; a further turn might make them 160.
+    CHECK_EQUAL(4, refused);
+}
+
+TEST(EntryHost, withTheStoreAwayTurnsGoOnAndAreStoredAtItsReturn)
+{
+    CHECK_EQUAL(200U, fleet.ask(0, firstTurn()).status);
+    for (const auto fault : {StoreFault::Busy, StoreFault::Silent, StoreFault::LostAnswer}) {
+        fleet.store().setFault(fault);
+        const auto name = std::to_string(static_cast<int>(fault));
+        CHECK_EQUAL(200U, fleet.ask(0, nextTurn("a" + name, "t1")).status);
+        // The other host finds a turn that no row holds.
+        CHECK_EQUAL(200U, fleet.ask(1, nextTurn("b" + name, "a" + name)).status);
+    }
+    fleet.store().setFault(StoreFault::None);
+    CHECK_TRUE(fleet.until([this] { return fleet.store().rows("turns") == 7; }));
+}
+
+TEST(EntryHost, aTurnThatTheStoreCannotTellOfIsNotDeniedButAskedToComeBack)
+{
+    fleet.store().setFault(StoreFault::Busy);
+    fleet.runFor(Milliseconds(600));
+    const auto got = fleet.ask(0, nextTurn("t2", "unknown"));
+    CHECK_EQUAL(503U, got.status);
+    CHECK_TRUE(!got.retryAfter.empty());
+}
+
+TEST(EntryHost, anotherServerIsTriedAfterAWordThatARequestHasNotRun)
+{
+    auto other = EngineStandIn(fleet.context());
+    for (const auto fault : {EngineFault::NotRun, EngineFault::Misdirected}) {
+        fleet.engine().setFault(fault);
+        other.setFault(EngineFault::None);
+        fleet.putEngine("engine-2", other.address(), "ready");
+        fleet.runFor(Milliseconds(300));
+        for (auto time = 0; time < 3; ++time) {
+            CHECK_EQUAL(200U, fleet.ask(0, call("/pay/x", "p" + std::to_string(time))).status);
+        }
+    }
+}
+
+TEST(EntryHost, aRequestThatMayHaveRunIsNotSentAgain)
+{
+    fleet.engine().setFault(EngineFault::Garbage);
+    CHECK_EQUAL(502U, fleet.ask(0, call("/pay/x", "p1")).status);
+    CHECK_EQUAL(1U, fleet.engine().requests().size());
+}
+
+TEST(EntryHost, aRefusalSaysNotRunOnlyWhereNothingRan)
+{
+    fleet.engine().setFault(EngineFault::NotRun);
+    const auto got = fleet.ask(0, call("/pay/x", "p1"));
+    CHECK_EQUAL(503U, got.status);
+    CHECK_TRUE(!got.retryAfter.empty());
+    CHECK_EQUAL(0U, fleet.engine().requests().size());
+}
+
+TEST(EntryHost, theAnswerToAnotherRequestIsNeverPassedOn)
+{
+    fleet.engine().setFault(EngineFault::Stray);
+    const auto got = fleet.ask(0, call("/look/x", "l1"));
+    CHECK_EQUAL(200U, got.status);
+    CHECK_EQUAL(std::string("answer"), got.body);
+}
+
+TEST(EntryHost, aSuccessWithoutASignatureIsNone)
+{
+    fleet.engine().setFault(EngineFault::Unsigned);
+    CHECK_EQUAL(502U, fleet.ask(0, call("/pay/x", "p1")).status);
+}
+
+TEST(EntryHost, aStreamThatBreaksOffDoesNotLookWhole)
+{
+    fleet.engine().setFault(EngineFault::BreakOff);
+    CHECK_FALSE(fleet.ask(0, firstTurn()).isWhole);
+    CHECK_EQUAL(0U, fleet.store().rows("turns"));
+}
+
+TEST(EntryHost, aCallerThatLeavesEndsWhatMayBeEnded)
+{
+    fleet.engine().setFault(EngineFault::Hang);
+    fleet.askAndLeave(0, firstTurn());
+    fleet.askAndLeave(0, call("/look/x", "l1"));
+    CHECK_TRUE(fleet.until([this] { return fleet.engine().leftEarly() == 2; }));
+}
+
+TEST(EntryHost, aRequestIsAnsweredWhenItsTimeIsOver)
+{
+    fleet.engine().setFault(EngineFault::Hang);
+    auto ask = call("/look/x", "l1");
+    ask.headers = {{"Deadline-Ms", "300"}};
+    CHECK_EQUAL(504U, fleet.ask(0, ask).status);
+}
+
+TEST(EntryHost, keysAndRoutesFollowTheConfigurationInForce)
+{
+    auto wrongKey = call("/look/x", "l1");
+    wrongKey.key = "wrong";
+    CHECK_EQUAL(401U, fleet.ask(0, wrongKey).status);
+    CHECK_EQUAL(404U, fleet.ask(0, call("/nowhere/", "l2")).status);
+
+    auto withdrawn = EntryFleet::configuration(2, 1'000);
+    withdrawn.replace(withdrawn.find("good-key"), 8, "next-key");
+    fleet.store().put("op", "config", withdrawn);
+    CHECK_TRUE(fleet.until([this] { return fleet.ask(0, call("/look/x", "l3")).status == 401; }));
+    CHECK_TRUE(fleet.until([this] { return fleet.ask(1, call("/look/x", "l4")).status == 401; }));
+}
+
+TEST(EntryHost, aHistoryThatTheStoreDroppedIsReadWhole)
+{
+    fleet.store().setFault(StoreFault::Busy);
+    fleet.runFor(Milliseconds(100));
+    auto withdrawn = EntryFleet::configuration(2, 1'000);
+    withdrawn.replace(withdrawn.find("good-key"), 8, "next-key");
+    fleet.store().put("op", "config", withdrawn);
+    fleet.store().dropHistory();
+    fleet.store().setFault(StoreFault::None);
+    CHECK_TRUE(fleet.until([this] { return fleet.ask(0, call("/look/x", "l3")).status == 401; }));
+}
+
+TEST(EntryHost, aServerThatDrainsGetsNothingNew)
+{
+    fleet.putEngine("engine-1", fleet.engine().address(), "draining");
+    CHECK_TRUE(fleet.until([this] { return fleet.ask(0, call("/look/x", "l1")).status == 503; }));
+}
+
+TEST(EntryHost, anAccountKeepsToItsLimitOverAllHosts)
+{
+    fleet.store().put("op", "config", EntryFleet::configuration(2, 2));
+    auto served = 0;
+    fleet.runFor(Milliseconds(500));
+    for (auto index = 0; index < 30; ++index) {
+        const auto got = fleet.ask(static_cast<std::size_t>(index % 2), call("/look/x", "l" + std::to_string(index)));
+        served += got.status == 200 ? 1 : 0;
+        CHECK_TRUE(got.status == 200 || (got.status == 429 && !got.retryAfter.empty()));
+    }
+    CHECK_TRUE(served <= 8);
+}
+
+TEST(EntryHost, badInputNeverReachesAnEngine)
+{
+    const auto head = std::string("POST /look/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nX-Api-Key: good-key\r\n");
+    const auto answerTo = [this](const std::string& bytes) { return fleet.sendRaw(0, bytes).substr(0, 12); };
+    CHECK_EQUAL(std::string("HTTP/1.1 400"), answerTo("nonsense\r\n\r\n"));
+    CHECK_EQUAL(std::string("HTTP/1.1 431"), answerTo(head + "X-Long: " + std::string(4'000, 'x') + "\r\n\r\n"));
+    CHECK_EQUAL(std::string("HTTP/1.1 413"), answerTo(head + "Content-Length: 9000\r\n\r\n" + std::string(9'000, 'x')));
+    CHECK_EQUAL(std::string("HTTP/1.1 400"),
+                answerTo(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /pay/x HTTP/1.1\r\n\r\n"));
+    CHECK_EQUAL(std::string("HTTP/1.1 400"), answerTo(head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello"));
+    // Half a request from a slow sender ends with its connection.
+    CHECK_EQUAL(std::string(), answerTo("POST /look/x HTTP/1.1\r\nHost: h.exam"));
+    CHECK_EQUAL(0U, fleet.engine().requests().size());
+}
+
+TEST(EntryHost, aHostThatStopsAnswersWhatItHasAndIsNotReady)
+{
+    fleet.host(0).stop();
+    CHECK_FALSE(fleet.isReady(0));
+    CHECK_EQUAL(200U, fleet.ask(0, call("/look/x", "l1")).status);
+}
--- /dev/null
+++ b/testing/standins/enginestandin.cpp
@@ -0,0 +1,113 @@
+#include "standins/enginestandin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace laburnummill::testing {
+
+namespace {
+
+auto whole(const std::string& id, unsigned status, const std::string& headers, const std::string& body) -> std::string
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto chunk(const std::string& data) -> std::string
+{
+    auto length = std::string(8, '\0');
+    length.resize(static_cast<std::size_t>(std::snprintf(length.data(), length.size(), "%zx", data.size())));
+    return length + "\r\n" + data + "\r\n";
+}
+
+} // namespace
+
+EngineStandIn::EngineStandIn(asio::io_context& context)
+    : m_context(context)
+    , m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+auto EngineStandIn::address() const -> std::string
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+auto EngineStandIn::accept() -> asio::awaitable<void>
+{
+    while (true) {
+        auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+auto EngineStandIn::serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>
+{
+    auto buffer = boost::beast::flat_buffer();
+    auto isOpen = true;
+    while (isOpen) {
+        auto request = http::request<http::string_body>();
+        auto error = boost::system::error_code();
+        co_await http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        isOpen = co_await respond(socket, request);
+    }
+}
+
+auto EngineStandIn::respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>
+{
+    const auto id = std::string(request["Request-Id"]);
+    if (m_fault == EngineFault::NotRun) {
+        co_return co_await write(socket, whole(id, 503, "Not-Executed: 1\r\n", ""));
+    }
+    if (m_fault == EngineFault::Misdirected) {
+        co_return co_await write(socket, whole(id, 421, "", ""));
+    }
+    m_requests.push_back(request);
+    if (m_fault == EngineFault::Garbage) {
+        co_await write(socket, "this is no answer\r\n\r\n");
+        co_return false;
+    }
+    if (m_fault == EngineFault::Hang) {
+        auto byte = std::array<char, 1>();
+        auto error = boost::system::error_code();
+        co_await socket.async_read_some(asio::buffer(byte), asio::redirect_error(asio::use_awaitable, error));
+        ++m_leftEarly;
+        co_return false;
+    }
+    if (m_fault == EngineFault::Stray) {
+        co_await write(socket, whole("another", 200, "Response-Signature: other\r\n", "not yours"));
+    }
+    if (std::string_view(request.target()).starts_with("/turns/")) {
+        co_return co_await stream(socket, id);
+    }
+    co_return co_await write(socket, whole(id, 200, m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n", "answer"));
+}
+
+auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const std::string& id) -> asio::awaitable<bool>
+{
+    co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                               "\r\nResponse-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                               chunk("id: 1\ndata: one\n\n"));
+    if (m_fault == EngineFault::BreakOff) {
+        co_return false;
+    }
+    co_return co_await write(socket, chunk("id: 2\ndata: two\n\n") + "0\r\n\r\n");
+}
+
+auto EngineStandIn::write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>
+{
+    auto error = boost::system::error_code();
+    co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+} // namespace laburnummill::testing
--- /dev/null
+++ b/testing/standins/entryfleet.cpp
@@ -0,0 +1,188 @@
+#include "standins/entryfleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace laburnummill::testing {
+
+namespace {
+
+using framework::Milliseconds;
+
+constexpr auto s_patience = std::chrono::seconds(10);
+constexpr auto s_step = std::chrono::milliseconds(20);
+
+/// Addresses of a data centre's host: each has an IP of its own, so that ports do not meet.
+auto freeAddress(asio::io_context& context, std::size_t host) -> std::string
+{
+    const auto ip = fmt::format("127.0.0.{}", 11 + host);
+    auto probe = asio::ip::tcp::acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0));
+    return fmt::format("{}:{}", ip, probe.local_endpoint().port());
+}
+
+} // namespace
+
+EntryFleet::EntryFleet(std::size_t hosts)
+    : m_store(m_context)
+    , m_engine(m_context)
+{
+    m_store.put("op", "config", configuration(1, 1'000));
+    putEngine("engine-1", m_engine.address(), "ready");
+    for (auto index = std::size_t{0}; index < hosts; ++index) {
+        auto running = std::make_unique<Running>();
+        auto& settings = running->settings;
+        settings.host = fmt::format("host-{}", index);
+        settings.dataCentre = "a";
+        settings.callerAddress = freeAddress(m_context, index);
+        settings.readyAddress = freeAddress(m_context, index);
+        settings.metricsAddress = freeAddress(m_context, index);
+        settings.peerAddress = freeAddress(m_context, index);
+        settings.storeAddress = fmt::format("127.0.0.1:{}", m_store.endpoint().port());
+        settings.memoryBytes = 100 * 1024 * 1024;
+        settings.stopGrace = Milliseconds(6'000);
+        running->metrics = std::make_unique<framework::Metrics>();
+        running->store = std::make_unique<platform::HttpStore>(m_context.get_executor(), m_store.endpoint(), *running->metrics);
+        running->host = std::make_unique<serving::EntryHost>(
+            m_context, settings, *running->metrics,
+            serving::Outside{.store = *running->store, .feed = *running->store, .rows = m_rows, .wire = m_wire});
+        running->host->start();
+        m_hosts.push_back(std::move(running));
+    }
+    until([this, hosts] {
+        for (auto index = std::size_t{0}; index < hosts; ++index) {
+            if (!m_hosts[index]->host->isReady() || m_hosts[index]->host->hostsHeard() < static_cast<int>(hosts)) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+EntryFleet::~EntryFleet()
+{
+    m_context.stop();
+}
+
+auto EntryFleet::configuration(int version, double rate) -> std::string
+{
+    return fmt::format(R"({{"version":{},"routes":[
+        {{"name":"turns","hostname":"h.example","prefix":"/turns/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,
+          "service":"engines","max_attempts":2,"retain":true,"retention_s":60}},
+        {{"name":"look","hostname":"h.example","prefix":"/look/","kind":"safe","timeout_ms":1000,"service":"engines","max_attempts":2}},
+        {{"name":"pay","hostname":"h.example","prefix":"/pay/","kind":"unsafe","timeout_ms":1000,"service":"engines","max_attempts":2}}],
+        "services":[{{"name":"engines","health_path":"/health","engine":{{"slots":4,"tokens_per_event":10}}}}],
+        "limits":{{"max_header_bytes":2000,"max_body_bytes":5000,"header_timeout_ms":300,"idle_timeout_ms":5000}},
+        "tenants":[{{"name":"pub","api_keys":["good-key"],"rate_per_s":{},"burst":{}}},
+                   {{"name":"brewery","api_keys":["other-key"]}}]}})",
+                       version, rate, rate);
+}
+
+auto EntryFleet::putEngine(const std::string& id, const std::string& address, const std::string& state) -> void
+{
+    m_store.put("servers", id,
+                fmt::format(R"({{"service":"engines","address":"{}","zone":"a","slots":4,"state":"{}","cold_left_ms":0,"born":1}})", address,
+                            state));
+}
+
+auto EntryFleet::until(const std::function<bool()>& condition) -> bool
+{
+    const auto deadline = std::chrono::steady_clock::now() + s_patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return false;
+        }
+        m_context.run_one_for(s_step);
+    }
+    return true;
+}
+
+auto EntryFleet::runFor(Milliseconds time) -> void
+{
+    m_context.run_for(time);
+}
+
+auto EntryFleet::isReady(std::size_t host) -> bool
+{
+    return m_hosts[host]->host->isReady();
+}
+
+auto EntryFleet::requestText(const Ask& request) const -> std::string
+{
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nX-Api-Key: {}\r\nContent-Length: {}\r\n", request.method,
+                            request.target, request.id, request.key, request.body.size());
+    for (const auto& [name, value] : request.headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    return text + "\r\n" + request.body;
+}
+
+auto EntryFleet::ask(std::size_t host, const Ask& request) -> Got
+{
+    auto got = std::make_shared<std::optional<Got>>();
+    asio::co_spawn(
+        m_context,
+        [this, host, text = requestText(request), got]() -> asio::awaitable<void> {
+            auto socket = asio::ip::tcp::socket(m_context);
+            auto error = boost::system::error_code();
+            co_await socket.async_connect(peers::endpointOf(m_hosts[host]->settings.callerAddress).value(),
+                                          asio::redirect_error(asio::use_awaitable, error));
+            co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+            auto buffer = boost::beast::flat_buffer();
+            auto response = http::response<http::string_body>();
+            co_await http::async_read(socket, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+            *got = Got{.status = response.result_int(),
+                       .body = response.body(),
+                       .retryAfter = std::string(response["Retry-After"]),
+                       .isWhole = !error};
+        },
+        asio::detached);
+    until([got] { return got->has_value(); });
+    return got->value_or(Got());
+}
+
+auto EntryFleet::sendRaw(std::size_t host, const std::string& bytes) -> std::string
+{
+    auto answer = std::make_shared<std::string>();
+    auto isDone = std::make_shared<bool>(false);
+    asio::co_spawn(
+        m_context,
+        [this, host, bytes, answer, isDone]() -> asio::awaitable<void> {
+            auto socket = asio::ip::tcp::socket(m_context);
+            auto error = boost::system::error_code();
+            co_await socket.async_connect(peers::endpointOf(m_hosts[host]->settings.callerAddress).value(),
+                                          asio::redirect_error(asio::use_awaitable, error));
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            auto piece = std::array<char, 4'096>();
+            while (!error) {
+                const auto size = co_await socket.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+                answer->append(piece.data(), size);
+            }
+            *isDone = true;
+        },
+        asio::detached);
+    until([isDone] { return *isDone; });
+    return *answer;
+}
+
+auto EntryFleet::askAndLeave(std::size_t host, const Ask& request) -> void
+{
+    asio::co_spawn(
+        m_context,
+        [this, host, text = requestText(request)]() -> asio::awaitable<void> {
+            auto socket = asio::ip::tcp::socket(m_context);
+            auto error = boost::system::error_code();
+            co_await socket.async_connect(peers::endpointOf(m_hosts[host]->settings.callerAddress).value(),
+                                          asio::redirect_error(asio::use_awaitable, error));
+            co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+            auto pause = asio::steady_timer(m_context, Milliseconds(100));
+            co_await pause.async_wait(asio::use_awaitable);
+        },
+        asio::detached);
+}
+
+} // namespace laburnummill::testing
--- /dev/null
+++ b/testing/standins/entryfleet.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "platform/httpstore.h"
+#include "platform/rowdecoder.h"
+#include "platform/wire.h"
+#include "serving/entryhost.h"
+#include "standins/enginestandin.h"
+#include "standins/storestandin.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnummill::testing {
+
+/// A caller's request in short.
+struct Ask
+{
+    std::string target = "/turns/one";
+    std::string method = "POST";
+    std::string id = "r1";
+    std::string key = "good-key";
+    std::string body = "hello";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// What a caller got. Status 0: the connection ended without a whole answer.
+struct Got
+{
+    unsigned status = 0;
+    std::string body;
+    std::string retryAfter;
+    bool isWhole = false;
+};
+
+/// Entry hosts on loopback with one store and one engine, all on one executor that tests drive until conditions hold.
+class EntryFleet
+{
+public:
+    explicit EntryFleet(std::size_t hosts);
+    ~EntryFleet();
+
+    auto store() -> StoreStandIn& { return m_store; }
+    auto engine() -> EngineStandIn& { return m_engine; }
+    auto context() -> asio::io_context& { return m_context; }
+    auto host(std::size_t index) -> serving::EntryHost& { return *m_hosts[index]->host; }
+
+    /// Runs everything until `condition`; false where it did not come true in ten seconds.
+    auto until(const std::function<bool()>& condition) -> bool;
+
+    /// Lets things run on for a time.
+    auto runFor(framework::Milliseconds time) -> void;
+
+    auto isReady(std::size_t host) -> bool;
+
+    /// Sends a request on a connection of its own and waits for its end.
+    auto ask(std::size_t host, const Ask& request) -> Got;
+
+    /// Sends bytes as they are; returns all that came back until the connection ended or nothing came for a while.
+    auto sendRaw(std::size_t host, const std::string& bytes) -> std::string;
+
+    /// Sends a request and leaves without waiting for the answer.
+    auto askAndLeave(std::size_t host, const Ask& request) -> void;
+
+    /// The operator's configuration: one route of turns, one of calls that may repeat, one of calls that may not.
+    static auto configuration(int version, double rate) -> std::string;
+
+    auto putEngine(const std::string& id, const std::string& address, const std::string& state) -> void;
+
+private:
+    struct Running
+    {
+        serving::HostSettings settings;
+        std::unique_ptr<framework::Metrics> metrics;
+        std::unique_ptr<platform::HttpStore> store;
+        std::unique_ptr<serving::EntryHost> host;
+    };
+
+    auto requestText(const Ask& request) const -> std::string;
+
+    asio::io_context m_context;
+    StoreStandIn m_store;
+    EngineStandIn m_engine;
+    platform::RowDecoder m_rows;
+    platform::Wire m_wire;
+    std::vector<std::unique_ptr<Running>> m_hosts;
+};
+
+} // namespace laburnummill::testing
--- /dev/null
+++ b/testing/standins/storestandin.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "framework/global/json.h"
+#include "framework/global/signal.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace laburnummill::testing {
+
+namespace asio = boost::asio;
+
+/// What is wrong with the store.
+enum class StoreFault
+{
+    None,
+    Busy,       ///< 503, nothing done
+    TooMany,    ///< 429, nothing done
+    Silent,     ///< no answer, nothing done
+    LostAnswer, ///< done, and the connection closed without an answer
+};
+
+/// The platform's store by its published protocol, in memory: rows, conditions, changes with a history that can be dropped.
+class StoreStandIn
+{
+public:
+    explicit StoreStandIn(asio::io_context& context);
+
+    auto endpoint() const -> asio::ip::tcp::endpoint { return m_acceptor.local_endpoint(); }
+
+    auto setFault(StoreFault fault) -> void { m_fault = fault; }
+    auto fault() const -> StoreFault { return m_fault; }
+
+    /// Changes before now are no longer told.
+    auto dropHistory() -> void { m_historyFrom = m_version; }
+
+    /// Writes a row as the operator or a backend server does.
+    auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
+    auto remove(const std::string& table, const std::string& key) -> void;
+
+    auto rows(const std::string& table) const -> std::size_t;
+    auto transactions() const -> int { return m_transactions; }
+    auto calls() const -> int { return m_calls; }
+
+private:
+    struct Key
+    {
+        std::string table;
+        std::string part;
+        std::string key;
+
+        auto operator<=>(const Key&) const = default;
+    };
+
+    struct Value
+    {
+        std::string value; ///< base64
+        std::uint64_t version = 0;
+        bool isRemoved = false;
+    };
+
+    using Query = std::map<std::string, std::string>;
+
+    auto accept() -> asio::awaitable<void>;
+    auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
+    auto answer(const std::string& path, const Query& query, const std::string& body) -> asio::awaitable<std::pair<unsigned, framework::Json>>;
+    auto transact(const framework::Json& call) -> std::pair<unsigned, framework::Json>;
+    auto list(const Query& query) const -> framework::Json;
+    auto changes(const Query& query) -> asio::awaitable<std::pair<unsigned, framework::Json>>;
+    auto rowJson(const Key& key, const Value& value) const -> framework::Json;
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    framework::Signal m_changed;
+    std::map<Key, Value> m_rows;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_historyFrom = 0;
+    StoreFault m_fault = StoreFault::None;
+    int m_transactions = 0;
+    int m_calls = 0;
+};
+
+} // namespace laburnummill::testing
