One lender a program; a host must be asked before its silence counts for nothing; hosts forgotten in a long cut find each other

Read from the code: two sides of a cut of over 15 s forget each other for good. Change: the known host with the lowest address lends for all that hear it; before a row is taken in doubt the others say what they lent or hold; silence is judged before asking; forgotten hosts are traced.

--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -15,6 +15,9 @@
 /// Cuts and restarts end sooner; a host unheard for longer serves nobody.
 constexpr auto s_forgottenAfter = Milliseconds(15'000);
 
+/// Data centres lose each other for minutes; a host that was away for an hour is another one.
+constexpr auto s_tracedFor = std::chrono::hours(1);
+
 auto admittedSince(const messages::Heartbeat& before, const messages::Heartbeat& now) -> std::vector<AdmittedElsewhere>
 {
     auto known = std::map<std::string_view, std::uint64_t>();
@@ -42,6 +45,7 @@
     if (address.empty() || address == m_ownAddress || m_peers.contains(address)) {
         return;
     }
+    m_forgotten.erase(std::string(address));
     m_peers.emplace(std::string(address), Peer{.address = std::string(address), .last = {}, .knownSince = now, .heardAt = {}});
 }
 
@@ -102,9 +106,23 @@
 
 auto PeerTable::forget(Instant now) -> void
 {
-    std::erase_if(m_peers, [now](const auto& entry) {
-        return std::max(entry.second.heardAt, entry.second.knownSince) + s_forgottenAfter < now;
+    std::erase_if(m_peers, [this, now](const auto& entry) {
+        const auto isForgotten = std::max(entry.second.heardAt, entry.second.knownSince) + s_forgottenAfter < now;
+        if (isForgotten && !entry.second.last.is_leaving()) {
+            m_forgotten.emplace(entry.first, now);
+        }
+        return isForgotten;
     });
+    std::erase_if(m_forgotten, [now](const auto& entry) { return entry.second + s_tracedFor < now; });
+}
+
+auto PeerTable::forgottenAddresses() const -> std::vector<std::string>
+{
+    auto found = std::vector<std::string>();
+    for (const auto& [address, since] : m_forgotten) {
+        found.push_back(address);
+    }
+    return found;
 }
 
 auto PeerTable::addresses() const -> std::vector<std::string>
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -70,6 +70,10 @@
     /// Addresses to send heartbeats to.
     auto addresses() const -> std::vector<std::string>;
 
+    /// Addresses of hosts that were forgotten. Heartbeats go there now and then: two sides of a long cut have forgotten
+    /// each other when it heals.
+    auto forgottenAddresses() const -> std::vector<std::string>;
+
     /// Requests of all heard hosts under way, by backend server.
     auto runningElsewhere(framework::Instant now) const -> std::map<std::string, int, std::less<>>;
 
@@ -78,6 +82,7 @@
 
     std::string m_ownAddress;
     std::map<std::string, Peer, std::less<>> m_peers;
+    std::map<std::string, framework::Instant, std::less<>> m_forgotten;
 };
 
 } // namespace laburnummill::peers
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -51,6 +51,18 @@
     CHECK_FALSE(table.knows("10.0.0.2:1"));
 }
 
+TEST(PeerTable, aForgottenHostIsTracedAndFoundAgainAfterALongCut)
+{
+    table.receive(beat("10.0.0.2:1", 5, 1), now);
+    table.forget(now + Milliseconds(16'000));
+    CHECK_EQUAL(1U, table.forgottenAddresses().size());
+    CHECK_EQUAL(0U, table.addresses().size());
+
+    table.receive(beat("10.0.0.2:1", 5, 90), now + Milliseconds(60'000));
+    CHECK_EQUAL(0U, table.forgottenAddresses().size());
+    CHECK_EQUAL(1U, table.addresses().size());
+}
+
 TEST(PeerTable, aHostThatLeavesIsNoLongerCounted)
 {
     table.receive(beat("10.0.0.2:1", 5, 1), now);
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -20,6 +20,9 @@
 
 /// The store answers in about 10 ms; beyond this the other hosts are asked.
 constexpr auto s_storePatience = Milliseconds(60);
+
+/// Where it did not do so the last time: a refusal comes within this.
+constexpr auto s_slowStorePatience = Milliseconds(10);
 constexpr auto s_queryTimeout = Milliseconds(200);
 
 /// A home waits up to `s_settlePatience` for other turns, and one round of questions beyond.
@@ -39,11 +42,6 @@
 /// Hosts that were cut off or without a store record what they lent within this after their return.
 constexpr auto s_doubtTime = Milliseconds(10'000);
 
-auto lendingLimit(std::uint64_t budget, std::uint64_t most) -> std::uint64_t
-{
-    return budget > s_largeBudgetTurns * most ? std::max(most, budget / s_lentPart) : most;
-}
-
 constexpr auto s_conflictTries = 8;
 
 /// Milliseconds; a write takes about ten.
@@ -79,7 +77,7 @@
             co_return *atHome;
         }
     }
-    co_return co_await reserveHere(std::move(key), budget, most, isFirstTurn);
+    co_return co_await reserveHere(std::move(key), budget, most, isFirstTurn, false);
 }
 
 auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t most, bool isFirstTurn)
@@ -110,7 +108,9 @@
 
 auto BudgetLedger::reserveFor(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<Reservation>
 {
-    auto reservation = co_await reserveHere(key, budget, most, isFirstTurn);
+    // A home of another data centre asks this host because it lends; it is not asked back.
+    const auto isLender = knows(key);
+    auto reservation = co_await reserveHere(key, budget, most, isFirstTurn, isLender);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         const auto program = m_table.program(key);
         program->holding.settle(reservation.tokens, 0);
@@ -129,14 +129,15 @@
     program->changed.notify();
 }
 
-auto BudgetLedger::reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> Async<Reservation>
+auto BudgetLedger::reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn, bool isForLender)
+    -> Async<Reservation>
 {
     const auto program = m_table.program(key);
     program->budget = budget;
     program->wanted += most;
     const auto deadline = m_clock.now() + s_settlePatience;
     auto reservation = Reservation();
-    auto isOthersUnderWay = false;
+    auto others = OtherHolders();
     auto askAgainAt = m_clock.now();
     while (true) {
         if (program->holding.reserve(most)) {
@@ -144,9 +145,7 @@
             break;
         }
         startRefill(key, program, most);
-        if (!m_isStoreSlow) {
-            co_await program->changed.wait(s_storePatience);
-        }
+        co_await program->changed.wait(m_isStoreSlow ? s_slowStorePatience : s_storePatience);
         if (program->holding.reserve(most)) {
             reservation = {.outcome = BudgetOutcome::Reserved, .tokens = most};
             break;
@@ -154,15 +153,19 @@
         const auto isAway = isStoreAway(key);
         const auto last = m_refills[key].last;
         if (m_clock.now() >= askAgainAt) {
-            isOthersUnderWay = co_await askOthers(key, program, most);
+            others = co_await askOthers(key, program, most);
             askAgainAt = m_clock.now() + s_askAgainAfter;
         }
-        const auto isSomeUnderWay = isOthersUnderWay || program->holding.reserved() > 0;
+        const auto isSomeUnderWay = others.isSomeUnderWay || program->holding.reserved() > 0;
         if (program->holding.free() >= most) {
             continue;
         }
-        if (isAway) {
-            reservation = lend(key, *program, most, isFirstTurn, isSomeUnderWay);
+        if (isAway && !others.lender.empty() && !isForLender) {
+            // It lends for all that hear it.
+            const auto fromLender = co_await reserveAtHome(key, others.lender, budget, most, isFirstTurn);
+            reservation = fromLender.value_or(Reservation());
+        } else if (isAway) {
+            reservation = lend(key, *program, most, isFirstTurn, others);
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Spent : BudgetOutcome::Unsure;
         }
@@ -209,7 +212,7 @@
     if (!refill.isRunning) {
         return refill.last == Refill::Failed;
     }
-    return refill.callBeganAt && (m_isStoreSlow || m_clock.now() >= *refill.callBeganAt + s_storePatience);
+    return m_isStoreSlow || (refill.callBeganAt && m_clock.now() >= *refill.callBeganAt + s_storePatience);
 }
 
 auto BudgetLedger::startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void
@@ -243,9 +246,13 @@
             co_return Refill::Done;
         }
         const auto inRow = m_table.left(*program);
-        const auto left = inRow - std::min(inRow, possiblyLent(*program, most));
+        const auto left = inRow - std::min(inRow, co_await possiblyLent(key, program, most));
+        if (program->isRowBeingWritten) {
+            continue;
+        }
         if (left < most - free && inRow >= most - free) {
-            co_return Refill::Contended; // Not spent for sure: others may yet say that they lent nothing.
+            // Not spent for sure: others may yet say that they lent nothing.
+            co_return co_await readRow(key, program) ? Refill::Contended : Refill::Failed;
         }
         if (left < most - free) {
             // Entries of a row never get smaller: what it left once it will never exceed.
@@ -297,14 +304,31 @@
     return isFirstGrant ? std::max(most, left / 2 - std::min(left / 2, most)) : most;
 }
 
-auto BudgetLedger::possiblyLent(const Program& program, std::uint64_t most) -> std::uint64_t
+auto BudgetLedger::isInDoubt() -> bool
 {
     const auto now = m_clock.now();
     if (m_isStoreSlow || m_peers.isAnyoneSilent() || m_peers.isStoreMissedByAny()) {
         m_doubtUntil = now + s_doubtTime;
     }
-    const auto limit = lendingLimit(program.budget, most);
-    return now < m_doubtUntil && limit > most ? limit : 0; // One turn's tokens a budget allows beyond it.
+    return now < m_doubtUntil;
+}
+
+auto BudgetLedger::possiblyLent(ProgramKey key, ProgramPtr program, std::uint64_t most) -> Async<std::uint64_t>
+{
+    if (!isInDoubt()) {
+        co_return 0;
+    }
+    const auto others = co_await askOthers(key, program, most);
+    const auto isLarge = program->budget > s_largeBudgetTurns * most;
+    // Hosts that are not heard may have lent as well; one turn's tokens a budget allows beyond it.
+    const auto unheard = m_peers.isAnyoneSilent() && isLarge ? program->budget / s_lentPart : 0;
+    co_return others.lent + unheard;
+}
+
+auto BudgetLedger::lent(const ProgramKey& key) const -> std::uint64_t
+{
+    const auto program = m_table.find(key);
+    return program ? program->lent : 0;
 }
 
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
@@ -319,10 +343,11 @@
     co_return true;
 }
 
-auto BudgetLedger::askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<bool>
+auto BudgetLedger::askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<OtherHolders>
 {
-    if (program->isRowKnown && !m_table.isHeldElsewhere(*program)) {
-        co_return false;
+    auto others = OtherHolders();
+    if (program->isRowKnown && !m_table.isHeldElsewhere(*program) && !isInDoubt()) {
+        co_return others;
     }
     auto request = peers::messages::Request();
     auto& query = *request.mutable_grant_query();
@@ -331,21 +356,36 @@
     query.set_tokens(need);
     const auto answers =
         co_await peers::askAll(m_peers, m_peers.everyone(), std::move(request), s_queryTimeout, [](const auto&) { return false; });
-    auto isUnderWay = false;
+    auto lent = std::uint64_t{0};
+    auto held = std::uint64_t{0};
     for (const auto& response : answers.responses) {
         program->holding.receive(response.granted());
-        isUnderWay = isUnderWay || response.reserved() > 0;
+        others.isSomeUnderWay = others.isSomeUnderWay || response.reserved() > 0;
+        const auto goesBefore = response.knows_program() && response.address() < m_peers.ownAddress();
+        if (goesBefore && (others.lender.empty() || response.address() < others.lender)) {
+            others.lender = response.address();
+        }
+        lent += response.lent();
+        held = std::max<std::uint64_t>(held, response.lent());
     }
-    co_return isUnderWay;
+    others.lent = std::max(lent, held);
+    co_return others;
+}
+
+auto BudgetLedger::lendingLimit(const Program& program, std::uint64_t most) const -> std::uint64_t
+{
+    const auto isLarge = program.budget > s_largeBudgetTurns * most && !program.isRowKnown;
+    const auto limit = isLarge ? program.budget / s_lentPart : most;
+    return m_peers.isAnyoneSilent() ? limit / 2 : limit; // Hosts that are not heard may lend as well.
 }
 
-auto BudgetLedger::lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere)
-    -> Reservation
+auto BudgetLedger::lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn,
+                        const OtherHolders& others) -> Reservation
 {
-    const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && !(isKnownElsewhere && !program.isRowKnown);
+    const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && others.lender.empty();
     // A program that has no row yet began in this outage. Should all hosts lose their memory now, its turns are gone with
     // what was lent, so that nothing goes on from them.
-    const auto limit = program.isRowKnown ? most : lendingLimit(program.budget, most);
+    const auto limit = lendingLimit(program, most);
     const auto room = std::min(m_table.left(program), limit - std::min(limit, program.lent));
     const auto free = program.holding.free();
     const auto tokens = std::min(most, free + room);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -27,8 +27,8 @@
 
 /// Keeps programs within their budgets over all hosts. A host takes tokens from the program's row ahead of what it
 /// hands out, so that what was handed out is never more than what the row says, whoever dies. While the store is away
-/// tokens are lent without the row: one turn's (so much a budget allows beyond it, should all hosts die then), or a
-/// quarter of its budget to a program that begins with a large one.
+/// tokens are lent without the row, by one host of those that hear each other: one turn's (so much a budget allows beyond
+/// it, should all hosts die then), or a quarter of its budget to a program that begins with a large one.
 class BudgetLedger
 {
 public:
@@ -54,6 +54,9 @@
     /// Tokens of turns under way here.
     auto reserved(const ProgramKey& key) const -> std::uint64_t;
 
+    /// Tokens lent here that the program's row does not show yet.
+    auto lent(const ProgramKey& key) const -> std::uint64_t;
+
     /// Whether this host has handed out tokens of the program, or has read its row.
     auto knows(const ProgramKey& key) const -> bool;
 
@@ -66,6 +69,14 @@
         Failed,    ///< the store did not say
     };
 
+    /// What other hosts say of a program.
+    struct OtherHolders
+    {
+        bool isSomeUnderWay = false; ///< some have turns of it under way, and may have tokens left soon
+        std::string lender;      ///< one that knows the program and goes before this host where tokens are lent; may be empty
+        std::uint64_t lent = 0;  ///< handed out and perhaps not shown by the row
+    };
+
     struct RefillState
     {
         bool isRunning = false;
@@ -73,18 +84,21 @@
         std::optional<framework::Instant> callBeganAt; ///< of a call to the store under way
     };
 
-    auto reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn) -> framework::Async<Reservation>;
+    auto reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t most, bool isFirstTurn, bool isForLender)
+        -> framework::Async<Reservation>;
     auto reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t most, bool isFirstTurn)
         -> framework::Async<std::optional<Reservation>>;
+    auto isInDoubt() -> bool;
     auto isStoreAway(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
     static auto ahead(const Program& program, std::uint64_t left, std::uint64_t most) -> std::uint64_t;
     /// Tokens that another host may have lent and not yet recorded.
-    auto possiblyLent(const Program& program, std::uint64_t most) -> std::uint64_t;
+    auto possiblyLent(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<std::uint64_t>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
-    auto askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<bool>;
-    auto lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, bool isKnownElsewhere) -> Reservation;
+    auto askOthers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<OtherHolders>;
+    auto lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, const OtherHolders& others) -> Reservation;
+    auto lendingLimit(const Program& program, std::uint64_t most) const -> std::uint64_t;
 
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -337,6 +337,8 @@
 {
     auto request = peers::messages::Request();
     request.mutable_turn_query()->add_ids(id);
+    // A host that is heard only while the others answer was not asked.
+    const auto wasAnyoneSilent = m_peers.isAnyoneSilent();
     const auto addresses = m_peers.everyone();
     const auto answers = co_await peers::askAll(m_peers, addresses, std::move(request), s_queryTimeout,
                                                 [](const auto& response) { return response.turns_size() > 0; });
@@ -344,7 +346,7 @@
         takeTurns(response);
     }
     // A host that does not answer may hold turns that the store lacks.
-    co_return TurnSearch{.turn = findHere(id), .isCertain = answers.failed == 0 && !m_peers.isAnyoneSilent()};
+    co_return TurnSearch{.turn = findHere(id), .isCertain = answers.failed == 0 && !wasAnyoneSilent};
 }
 
 auto TurnJournal::findAncestor(Ancestor ancestor) -> Async<TurnPtr>
@@ -453,10 +455,20 @@
             continue;
         }
         m_heldForOthers[turn->id] =
-            Held{.origin = origin, .record = record, .partition = partitionOf(*turn), .since = m_clock.now()};
+            Held{.origin = origin, .record = record, .partition = partitionOf(*turn), .program = {.account = turn->account, .program = turn->program},
+                 .tokens = static_cast<std::uint64_t>(turn->tokens), .since = m_clock.now()};
     }
 }
 
+auto TurnJournal::heldTokens(const ProgramKey& program) const -> std::uint64_t
+{
+    auto tokens = std::uint64_t{0};
+    for (const auto& [id, held] : m_heldForOthers) {
+        tokens += held.program == program ? held.tokens : 0;
+    }
+    return tokens;
+}
+
 auto TurnJournal::writeForOthers() -> Async<void>
 {
     auto due = std::vector<std::string>();
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -64,6 +64,9 @@
     /// Holds turns for another host until it has written them.
     auto keepFor(const std::string& origin, const std::vector<std::string>& records) -> void;
 
+    /// Tokens of a program's turns that are held for other hosts.
+    auto heldTokens(const ProgramKey& program) const -> std::uint64_t;
+
     /// Writes turns of other hosts that did not do it themselves; called about once a second.
     auto writeForOthers() -> framework::Async<void>;
 
@@ -102,6 +105,8 @@
         std::string origin;
         std::string record;
         std::uint32_t partition = 0;
+        ProgramKey program;
+        std::uint64_t tokens = 0;
         framework::Instant since{};
     };
 
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -27,6 +27,9 @@
 /// Keeps the datagrams that a host sends below about a hundred a second in large fleets.
 constexpr auto s_beatPerHost = Milliseconds(8);
 
+/// Every tenth heartbeat goes to hosts that were forgotten as well.
+constexpr auto s_beatsPerTrace = std::uint64_t{10};
+
 constexpr auto s_catchUpTimeout = Milliseconds(400);
 
 /// Four heartbeats in a row of all hosts of all other data centres missed.
@@ -108,6 +111,11 @@
     for (const auto& address : m_table.addresses()) {
         m_port.sendHeartbeat(address, datagram);
     }
+    if (m_sequence % s_beatsPerTrace == 0) {
+        for (const auto& address : m_table.forgottenAddresses()) {
+            m_port.sendHeartbeat(address, datagram);
+        }
+    }
 }
 
 auto FleetLink::makeHeartbeat() const -> messages::Heartbeat
@@ -374,6 +382,8 @@
     auto response = messages::Response();
     const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
     response.set_knows_program(m_state.budgets->knows(key));
+    response.set_address(m_settings.peerAddress);
+    response.set_lent(std::max(m_state.budgets->lent(key), m_state.journal->heldTokens(key)));
     if (query.may_take_more()) {
         const auto reservation = co_await m_state.budgets->reserveFor(key, query.budget(), query.tokens(), query.is_first_turn());
         response.set_granted(reservation.tokens);
