--- a/src/backends/backendbook.h
+++ b/src/backends/backendbook.h
@@ -36,9 +36,9 @@
     std::uint64_t number = 0; ///< of this start, never used again in the process
     bool isGone = false;
     framework::Instant coldUntil{};
-    int running = 0;         ///< requests of this host under way
+    int running = 0;          ///< requests of this host under way
     int runningElsewhere = 0; ///< requests of other hosts, as they said last
-    int reportedWaiting = 0; ///< from its last answer
+    int reportedWaiting = 0;  ///< from its last answer
     framework::Instant reportedAt{};
     BackendHealth health;
 
--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -33,8 +33,9 @@
     /// Whether a host that may be serving is not heard now.
     virtual auto isAnyoneSilent() const -> bool = 0;
 
-    /// Whether a host that is heard does not reach the store, or holds turns that the store lacks.
-    virtual auto isStoreMissedByAny() const -> bool = 0;
+    /// Whether some host was silent, did not reach the store or held turns that it lacks within the last seconds: tokens may
+    /// have been lent that no row shows yet.
+    virtual auto wasStoreMissedLately() const -> bool = 0;
 
     /// Whether the host at `address` is heard and has written all of its turns.
     virtual auto hasWrittenAll(std::string_view address) const -> bool = 0;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -15,10 +15,10 @@
 /// Another host as it was heard last.
 struct Peer
 {
-    std::string address;              ///< of its peer port, IP:PORT
-    messages::Heartbeat last;         ///< empty where it was never heard
+    std::string address;      ///< of its peer port, IP:PORT
+    messages::Heartbeat last; ///< empty where it was never heard
     framework::Instant knownSince{};
-    framework::Instant heardAt{};     ///< the epoch where it was never heard
+    framework::Instant heardAt{}; ///< the epoch where it was never heard
 };
 
 /// Requests that another host admitted for a client account since its heartbeat before.
@@ -31,8 +31,8 @@
 /// What one heartbeat tells beyond the one before.
 struct HeartbeatNews
 {
-    bool isStale = false;     ///< older than one already taken; to be ignored
-    bool isFirst = false;     ///< of this incarnation
+    bool isStale = false; ///< older than one already taken; to be ignored
+    bool isFirst = false; ///< of this incarnation
     std::vector<AdmittedElsewhere> admitted;
 };
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -39,9 +39,6 @@
 constexpr auto s_largeBudgetTurns = std::uint64_t{4};
 constexpr auto s_lentPart = std::uint64_t{4};
 
-/// Hosts that were cut off or without a store record what they lent within this after their return.
-constexpr auto s_doubtTime = Milliseconds(10'000);
-
 constexpr auto s_conflictTries = 8;
 
 /// Milliseconds; a write takes about ten.
@@ -304,13 +301,9 @@
     return isFirstGrant ? std::max(most, left / 2 - std::min(left / 2, most)) : most;
 }
 
-auto BudgetLedger::isInDoubt() -> bool
+auto BudgetLedger::isInDoubt() const -> bool
 {
-    const auto now = m_clock.now();
-    if (m_isStoreSlow || m_peers.isAnyoneSilent() || m_peers.isStoreMissedByAny()) {
-        m_doubtUntil = now + s_doubtTime;
-    }
-    return now < m_doubtUntil;
+    return m_isStoreSlow || m_peers.wasStoreMissedLately();
 }
 
 auto BudgetLedger::possiblyLent(ProgramKey key, ProgramPtr program, std::uint64_t most) -> Async<std::uint64_t>
@@ -379,8 +372,8 @@
     return m_peers.isAnyoneSilent() ? limit / 2 : limit; // Hosts that are not heard may lend as well.
 }
 
-auto BudgetLedger::lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn,
-                        const OtherHolders& others) -> Reservation
+auto BudgetLedger::lend(const ProgramKey& key, Program& program, std::uint64_t most, bool isFirstTurn, const OtherHolders& others)
+    -> Reservation
 {
     const auto mayLend = (program.isRowKnown || isFirstTurn || program.lent > 0) && others.lender.empty();
     // A program that has no row yet began in this outage. Should all hosts lose their memory now, its turns are gone with
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -73,8 +73,8 @@
     struct OtherHolders
     {
         bool isSomeUnderWay = false; ///< some have turns of it under way, and may have tokens left soon
-        std::string lender;      ///< one that knows the program and goes before this host where tokens are lent; may be empty
-        std::uint64_t lent = 0;  ///< handed out and perhaps not shown by the row
+        std::string lender;          ///< one that knows the program and goes before this host where tokens are lent; may be empty
+        std::uint64_t lent = 0;      ///< handed out and perhaps not shown by the row
     };
 
     struct RefillState
@@ -88,7 +88,7 @@
         -> framework::Async<Reservation>;
     auto reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t most, bool isFirstTurn)
         -> framework::Async<std::optional<Reservation>>;
-    auto isInDoubt() -> bool;
+    auto isInDoubt() const -> bool;
     auto isStoreAway(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t most) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t most) -> framework::Async<Refill>;
@@ -106,7 +106,6 @@
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
     std::map<ProgramKey, RefillState> m_refills;
-    framework::Instant m_doubtUntil{}; ///< until then other hosts may have lent tokens that no row shows
     bool m_isStoreSlow = false;
     std::minstd_rand m_random{std::random_device()()};
 };
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -75,8 +75,9 @@
     own->set_granted(std::max<std::uint64_t>(own->granted(), program.holding.recorded() + tokens));
     own->set_spent(program.holding.spent());
     const auto address = rowOf(key);
+    auto value = row.SerializeAsString();
     return {.condition = {.address = address, .version = program.rowVersion},
-            .put = {.address = address, .value = row.SerializeAsString()},
+            .put = {.address = address, .value = std::move(value)},
             .row = std::move(row),
             .tokens = tokens};
 }
--- a/src/programs/tests/programtabletest.cpp
+++ b/src/programs/tests/programtabletest.cpp
@@ -1,5 +1,5 @@
-#include "framework/global/manualclock.h"
 #include "programs/programtable.h"
+#include "framework/global/manualclock.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -59,15 +59,15 @@
     ProgramTable there{context.get_executor(), clock, "there", 2};
     ProgramKey key{.account = "pub", .program = "p"};
 
-    auto known(ProgramTable & table) -> ProgramPtr
+    auto known(ProgramTable & table)->ProgramPtr
     {
-        const auto program = table.program(key);
+        auto program = table.program(key);
         program->budget = 1'000;
         return program;
     }
 
     /// The row as the store would hold it after `change`.
-    static auto rowOf(const RowChange& change, std::uint64_t version) -> store::Row
+    static auto rowOf(const RowChange& change, std::uint64_t version)->store::Row
     {
         return {.address = change.put.address, .value = change.put.value, .version = version};
     }
@@ -174,7 +174,7 @@
               .account = "pub",
               .program = "p",
               .ancestors = {{.id = "t1", .partition = 3}},
-              .input = "in\0put",
+              .input = std::string(1, '\0') + "put",
               .output = "a\nb\n",
               .tokens = 20,
               .backend = "engine"};
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -49,8 +49,8 @@
     std::string program;
     std::vector<Ancestor> ancestors; ///< oldest first
     std::string input;
-    std::string output; ///< data of each event, each followed by a line feed
-    int tokens = 0;     ///< generated
+    std::string output;  ///< data of each event, each followed by a line feed
+    int tokens = 0;      ///< generated
     std::string backend; ///< that ran it and may hold its text in memory
 };
 
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -171,13 +171,16 @@
 {
     const auto key = ProgramKey{.account = writing->turn->account, .program = writing->turn->program};
     const auto program = m_table.find(key);
-    const auto isLow = program && program->holding.free() * 2 < writing->most * s_halfTurnsAhead;
+    // While other hosts may have lent tokens that the row does not show, only the ledger takes more: it asks them first.
+    const auto isLow =
+        program && !m_peers.wasStoreMissedLately() && program->holding.free() * 2 < writing->most * s_halfTurnsAhead;
     if (!program || program->isRowBeingWritten || !(program->lent > 0 || (program->isRowKnown && isLow))) {
         return;
     }
     // Tokens for the next turns come with this write, so that those need none of their own.
-    const auto want = writing->most * (s_halfTurnsAhead + 2) / 2 - std::min(program->holding.free(), writing->most * (s_halfTurnsAhead + 2) / 2);
-    const auto tokens = std::min(m_table.left(*program), want);
+    const auto want =
+        writing->most * (s_halfTurnsAhead + 2) / 2 - std::min(program->holding.free(), writing->most * (s_halfTurnsAhead + 2) / 2);
+    const auto tokens = isLow ? std::min(m_table.left(*program), want) : 0;
     if (tokens == 0 && program->lent == 0) {
         return;
     }
@@ -227,8 +230,7 @@
 auto TurnJournal::readRow(std::string id, std::uint32_t partition) -> AsyncResult<TurnPtr>
 {
     const auto address = rowOf(id, partition);
-    auto request =
-        store::ListRequest{.table = address.table, .partition = address.partition, .from = id, .to = justAfter(id), .limit = 1};
+    auto request = store::ListRequest{.table = address.table, .partition = address.partition, .from = id, .to = justAfter(id), .limit = 1};
     BOOST_OUTCOME_CO_TRY(const auto page, co_await m_store.list(std::move(request)));
     if (page.rows.empty()) {
         co_return TurnPtr();
@@ -400,8 +402,8 @@
 {
     struct Search
     {
-        explicit Search(asio::any_io_executor executor)
-            : done(std::move(executor))
+        explicit Search(const asio::any_io_executor& executor)
+            : done(executor)
         {}
 
         asio::steady_timer done;
@@ -454,9 +456,12 @@
             framework::logEvent(framework::LogLevel::Warning, "programs", "kept_turn_unreadable", {{"origin", origin}});
             continue;
         }
-        m_heldForOthers[turn->id] =
-            Held{.origin = origin, .record = record, .partition = partitionOf(*turn), .program = {.account = turn->account, .program = turn->program},
-                 .tokens = static_cast<std::uint64_t>(turn->tokens), .since = m_clock.now()};
+        m_heldForOthers[turn->id] = Held{.origin = origin,
+                                         .record = record,
+                                         .partition = partitionOf(*turn),
+                                         .program = {.account = turn->account, .program = turn->program},
+                                         .tokens = static_cast<std::uint64_t>(turn->tokens),
+                                         .since = m_clock.now()};
     }
 }
 
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -43,7 +43,8 @@
     TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
                 const framework::IClock& clock, std::size_t cacheBytes);
 
-    /// Makes a turn last, together with what its program has spent; `most` is what one turn of it may generate. Returns when it is stored, or when other hosts hold it because the store takes too long.
+    /// Makes a turn last, together with what its program has spent; `most` is what one turn of it may generate. Returns when it is stored,
+    /// or when other hosts hold it because the store takes too long.
     auto commit(TurnPtr turn, std::uint64_t most) -> framework::Async<CommitOutcome>;
 
     /// The turn called `id` of any program; most are of `program`.
@@ -79,8 +80,8 @@
 private:
     struct Writing
     {
-        explicit Writing(framework::asio::any_io_executor executor)
-            : changed(std::move(executor))
+        explicit Writing(const framework::asio::any_io_executor& executor)
+            : changed(executor)
         {}
 
         TurnPtr turn;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -67,7 +67,7 @@
 {
     std::string name;
     std::string healthPath;
-    int maxConnections = 0;       ///< that one backend server accepts from all hosts together; 0 is unknown
+    int maxConnections = 0;           ///< that one backend server accepts from all hosts together; 0 is unknown
     double coldRequestsPerSecond = 0; ///< that a cold backend server bears; 0 means no bound
     std::optional<EngineSpec> engine;
 
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -78,9 +78,8 @@
 {
     auto best = BackendPtr();
     auto bestCost = std::numeric_limits<double>::max();
-    const auto hasSound = std::ranges::any_of(servers, [&](const BackendPtr& server) {
-        return !server->health.isAvoided(now) && !need.tried.contains(server->number);
-    });
+    const auto hasSound = std::ranges::any_of(
+        servers, [&](const BackendPtr& server) { return !server->health.isAvoided(now) && !need.tried.contains(server->number); });
     ++m_turn;
     for (auto index = std::size_t{0}; index < servers.size(); ++index) {
         // Equal servers take turns.
--- a/src/scheduling/tests/backendchoicetest.cpp
+++ b/src/scheduling/tests/backendchoicetest.cpp
@@ -1,5 +1,5 @@
-#include "scheduling/admission.h"
 #include "scheduling/backendchoice.h"
+#include "scheduling/admission.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -122,7 +122,7 @@
     Instant now{Milliseconds(100'000)};
     std::vector<BackendPtr> servers{server(1, "a", 12), server(2, "a", 12)};
 
-    auto begun(int priority) -> int
+    auto begun(int priority)->int
     {
         auto admitted = 0;
         for (auto time = 0; time < 1'000; ++time) {
--- a/src/serving/backendconnections.h
+++ b/src/serving/backendconnections.h
@@ -17,8 +17,8 @@
 /// A connection to one start of a backend server; carries one request at a time.
 struct BackendConnection
 {
-    explicit BackendConnection(framework::asio::any_io_executor executor)
-        : socket(std::move(executor))
+    explicit BackendConnection(const framework::asio::any_io_executor& executor)
+        : socket(executor)
     {}
 
     framework::asio::ip::tcp::socket socket;
--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -39,7 +39,7 @@
 /// Headers that concern one connection only.
 auto isHopByHop(std::string_view name) -> bool
 {
-    constexpr auto names = std::array<std::string_view, 8>{"connection",        "keep-alive", "transfer-encoding", "content-length",
+    constexpr auto names = std::array<std::string_view, 8>{"connection",       "keep-alive", "transfer-encoding", "content-length",
                                                            "proxy-connection", "te",         "trailer",           "upgrade"};
     return std::ranges::any_of(names, [name](std::string_view hop) { return boost::beast::iequals(name, hop); });
 }
--- a/src/serving/callerrequest.h
+++ b/src/serving/callerrequest.h
@@ -21,11 +21,11 @@
 struct TurnFields
 {
     std::string program;
-    std::string previousTurn;        ///< id of the turn that it continues; empty at the start of a chain
-    std::uint64_t budget = 0;        ///< tokens that all turns of the program may generate
+    std::string previousTurn; ///< id of the turn that it continues; empty at the start of a chain
+    std::uint64_t budget = 0; ///< tokens that all turns of the program may generate
     bool hasBudget = false;
     std::uint64_t promptTokens = 0;
-    std::uint64_t mostTokens = 0;    ///< that this turn may generate
+    std::uint64_t mostTokens = 0; ///< that this turn may generate
     std::vector<PromptPart> promptParts;
 };
 
@@ -39,7 +39,7 @@
     std::string path;
     std::string hostName;
     std::string id;
-    std::optional<std::string> key; ///< never logged, never passed on
+    std::optional<std::string> key;                  ///< never logged, never passed on
     std::optional<framework::Milliseconds> deadline; ///< time that the caller waits
     std::optional<framework::Milliseconds> programDeadline;
     TurnFields turn;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -86,8 +86,9 @@
               .isIsolated = [this] { return m_link.isIsolated(); }}
     , m_callerSide{.parts = m_parts, .wire = outside.wire}
     , m_acceptor(context, peers::endpointOf(m_settings.callerAddress).value())
-    , m_readyPort(context.get_executor(), peers::endpointOf(m_settings.readyAddress).value(),
-                  [this](std::string_view) { return StatusAnswer{.status = isReady() ? 200U : 503U, .contentType = "text/plain", .body = {}}; })
+    , m_readyPort(context.get_executor(), peers::endpointOf(m_settings.readyAddress).value(), [this](std::string_view) {
+        return StatusAnswer{.status = isReady() ? 200U : 503U, .contentType = "text/plain", .body = {}};
+    })
 {
     m_shared.store = &m_store;
     m_shared.journal = &m_journal;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -72,6 +72,7 @@
                        CancellationPtr cancellation) -> Async<AttemptResult>
 {
     auto result = AttemptResult();
+    result.head.result(0U); // No status until a head is read.
     const auto began = m_clock.now();
     const auto connection = co_await m_connections.take(backend, cancellation);
     if (!connection) {
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -35,6 +35,9 @@
 /// Four heartbeats in a row of all hosts of all other data centres missed.
 constexpr auto s_isolatedAfter = Milliseconds(800);
 
+/// Hosts that were cut off or without a store record what they lent within this after their return.
+constexpr auto s_storeMissedMemory = Milliseconds(10'000);
+
 /// Addresses told in one heartbeat: enough that a new host soon knows all.
 constexpr auto s_addressesTold = std::size_t{8};
 
@@ -96,6 +99,7 @@
         sendToAll();
         refreshRunningElsewhere();
         const auto now = m_clock.now();
+        noteStoreMissed();
         m_table.forget(now);
         std::erase_if(m_suspects, [this](const auto& address) { return !m_table.knows(address); });
         m_state.limiter.setHeardShare(m_table.heardShare(now), now);
@@ -248,9 +252,7 @@
 auto FleetLink::rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>
 {
     auto ranked = std::vector<std::pair<std::uint64_t, std::string>>();
-    const auto add = [&](const std::string& address) {
-        ranked.emplace_back(framework::hash64(key, framework::hash64(address)), address);
-    };
+    const auto add = [&](const std::string& address) { ranked.emplace_back(framework::hash64(key, framework::hash64(address)), address); };
     for (const auto* peer : heard()) {
         if (!peer->last.is_leaving() && (peer->last.data_centre() == m_settings.dataCentre) == isOwnDataCentre) {
             add(peer->address);
@@ -318,16 +320,25 @@
     return !m_suspects.empty() || m_table.heardShare(m_clock.now()) < 1;
 }
 
-auto FleetLink::isStoreMissedByAny() const -> bool
+auto FleetLink::wasStoreMissedLately() const -> bool
 {
-    return std::ranges::any_of(heard(), [](const auto* peer) { return !peer->last.reaches_store() || peer->last.unwritten_turns() > 0; });
+    return m_storeMissedAt != framework::Instant{} && m_clock.now() < m_storeMissedAt + s_storeMissedMemory;
+}
+
+auto FleetLink::noteStoreMissed() -> void
+{
+    const auto misses = [](const auto* peer) { return !peer->last.reaches_store() || peer->last.unwritten_turns() > 0; };
+    const auto isMissed = !m_state.store->directWay().isSound() || m_state.journal->unwritten() > 0 || isAnyoneSilent() ||
+                          std::ranges::any_of(m_table.heard(m_clock.now()), misses);
+    if (isMissed) {
+        m_storeMissedAt = m_clock.now();
+    }
 }
 
 auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
 {
-    return std::ranges::any_of(m_table.heard(m_clock.now()), [address](const auto* peer) {
-        return peer->address == address && peer->last.unwritten_turns() == 0;
-    });
+    return std::ranges::any_of(m_table.heard(m_clock.now()),
+                               [address](const auto* peer) { return peer->address == address && peer->last.unwritten_turns() == 0; });
 }
 
 auto FleetLink::call(std::string address, messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
@@ -398,7 +409,9 @@
 auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
 {
     auto response = messages::Response();
-    const auto setError = [&response](const std::error_code& error) { response.set_store_error(static_cast<std::uint32_t>(error.value())); };
+    const auto setError = [&response](const std::error_code& error) {
+        response.set_store_error(static_cast<std::uint32_t>(error.value()));
+    };
     m_metrics.count("store_calls_for_peers");
     if (request.has_transaction()) {
         const auto reply = co_await m_state.directStore.transact(store::fromMessage(request.transaction()));
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -54,7 +54,7 @@
     auto keepers(std::string_view program) const -> std::vector<std::string> override;
     auto storeHelpers() const -> std::vector<std::string> override;
     auto isAnyoneSilent() const -> bool override;
-    auto isStoreMissedByAny() const -> bool override;
+    auto wasStoreMissedLately() const -> bool override;
     auto hasWrittenAll(std::string_view address) const -> bool override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
     auto call(std::string address, peers::messages::Request request, framework::Milliseconds timeout)
@@ -77,6 +77,7 @@
     auto makeHeartbeat() const -> peers::messages::Heartbeat;
     auto sendToAll() -> void;
     auto refreshRunningElsewhere() -> void;
+    auto noteStoreMissed() -> void;
     auto catchUp(std::string address, Table table, bool isCertain) -> framework::Async<void>;
     auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
     auto answerChanges(const peers::messages::Changes& changes) const -> peers::messages::Response;
@@ -91,6 +92,7 @@
     peers::PeerPort m_port;
     std::uint64_t m_sequence = 0;
     std::set<std::string, std::less<>> m_suspects; ///< did not answer a call, and were not heard since
+    framework::Instant m_storeMissedAt{};
     bool m_isReady = false;
     bool m_isLeaving = false;
     bool m_isStopped = false;
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -21,7 +21,7 @@
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
     std::uint64_t memoryBytes = 0;
-    framework::Milliseconds stopGrace{8'000};  ///< from the order to stop until the process is killed
+    framework::Milliseconds stopGrace{8'000}; ///< from the order to stop until the process is killed
 };
 
 } // namespace laburnummill::serving
--- a/src/serving/iwire.h
+++ b/src/serving/iwire.h
@@ -13,12 +13,12 @@
 struct ReplyMarks
 {
     std::string requestId;
-    bool isSigned = false;       ///< carries the signature without which a success does not count
-    bool saysNotRun = false;     ///< states that the request was not run
-    std::optional<int> waiting;  ///< requests that wait at the server
+    bool isSigned = false;      ///< carries the signature without which a success does not count
+    bool saysNotRun = false;    ///< states that the request was not run
+    std::optional<int> waiting; ///< requests that wait at the server
     std::optional<int> running;
     std::optional<framework::Milliseconds> idleTimeout; ///< of the connection
-    bool isEncoded = false;      ///< the body is not as the server made it
+    bool isEncoded = false;                             ///< the body is not as the server made it
 };
 
 /// Where a request is sent, and as whose.
@@ -45,8 +45,8 @@
     virtual auto decodeReply(const http::response_header<>& header) const -> ReplyMarks = 0;
 
     /// Names the request in an answer that is not a backend server's.
-    virtual auto markOwnAnswer(http::fields& fields, const std::string& requestId,
-                               std::optional<framework::Milliseconds> retryAfter) const -> void = 0;
+    virtual auto markOwnAnswer(http::fields& fields, const std::string& requestId, std::optional<framework::Milliseconds> retryAfter) const
+        -> void = 0;
 };
 
 } // namespace laburnummill::serving
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -183,7 +183,8 @@
         text += search.turn->input + search.turn->output;
         m_request.body = text + m_input;
         m_ancestors = search.turn->ancestors;
-        m_ancestors.push_back({.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
+        m_ancestors.push_back(
+            {.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
         m_need.lastBackend = search.turn->backend;
     }
     if (!turn.hasBudget || turn.program.empty()) {
@@ -248,11 +249,10 @@
 auto RequestRun::chooseBackend() -> BackendPtr
 {
     const auto servers = m_parts.knowledge.backends().available(m_service->name);
-    const auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_parts.dataCentre,
-                                                     .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
-                                                     .hosts = m_parts.fleetSize()};
+    const auto settings = scheduling::ChoiceSettings{
+        .ownDataCentre = m_parts.dataCentre, .coldRequestsPerSecond = m_service->coldRequestsPerSecond, .hosts = m_parts.fleetSize()};
     const auto now = m_parts.clock.now();
-    const auto backend = m_parts.choice.choose(servers, m_need, settings, now);
+    auto backend = m_parts.choice.choose(servers, m_need, settings, now);
     if (backend) {
         m_parts.choice.started(backend, m_need, settings, now);
     }
@@ -262,8 +262,8 @@
 auto RequestRun::attemptOnce(const BackendPtr& backend) -> Async<AttemptResult>
 {
     ++backend->running;
-    const auto target = BackendTarget{
-        .instance = backend->entry.id, .account = m_account, .timeLeft = timeLeft(), .address = backend->entry.address};
+    const auto target =
+        BackendTarget{.instance = backend->entry.id, .account = m_account, .timeLeft = timeLeft(), .address = backend->entry.address};
     const auto began = m_parts.clock.now();
     auto result = co_await m_parts.exchange.attempt(backend, m_request, target, m_route->kind == RequestKind::Stream ? this : nullptr,
                                                     m_cancellation);
@@ -368,8 +368,7 @@
     if (isTurn() && status >= 200 && status < 300) {
         co_await commitTurn(backend);
     }
-    const auto isDelivered =
-        m_answer.hasBegun() ? co_await m_answer.end() : co_await m_answer.whole(result.head, std::move(result.body));
+    const auto isDelivered = m_answer.hasBegun() ? co_await m_answer.end() : co_await m_answer.whole(result.head, std::move(result.body));
     logEnd(isDelivered ? "answered" : "caller_left", status);
 }
 
@@ -400,8 +399,7 @@
         return;
     }
     const auto begunEvents = m_events.events() + (m_events.isBetweenEvents() ? 0 : 1);
-    const auto left =
-        m_parts.budgets.settle(programKey(), m_reservedTokens, static_cast<std::uint64_t>(begunEvents) * tokensPerEvent());
+    const auto left = m_parts.budgets.settle(programKey(), m_reservedTokens, static_cast<std::uint64_t>(begunEvents) * tokensPerEvent());
     m_reservedTokens = 0;
     if (left > 0 || m_turn) {
         m_parts.journal.tellHome(programKey(), m_turn, left);
@@ -490,12 +488,8 @@
     const auto took = std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - m_request.arrivedAt);
     m_parts.metrics.count("requests", {{"outcome", std::string(outcome)}});
     m_parts.metrics.record("request_ms", static_cast<double>(took.count()));
-    auto fields = Json{{"request", m_request.id},
-                       {"outcome", outcome},
-                       {"status", status},
-                       {"tookMs", took.count()},
-                       {"account", m_account},
-                       {"configuration", m_routes ? m_routes->version() : 0}};
+    auto fields = Json{{"request", m_request.id}, {"outcome", outcome},   {"status", status},
+                       {"tookMs", took.count()},  {"account", m_account}, {"configuration", m_routes ? m_routes->version() : 0}};
     if (m_route != nullptr) {
         fields["route"] = m_route->name;
         fields["kind"] = framework::nameOf(routing::s_requestKindNames, m_route->kind);
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -14,18 +14,18 @@
     RateLimited,
     BudgetSpent,
     NoSuchTurn,
-    TurnUnknown,      ///< whether the turn exists cannot be told now
-    BudgetUnknown,    ///< whether the budget holds one more turn cannot be told now
-    NoServer,         ///< no backend server may take it
+    TurnUnknown,   ///< whether the turn exists cannot be told now
+    BudgetUnknown, ///< whether the budget holds one more turn cannot be told now
+    NoServer,      ///< no backend server may take it
     ServersFull,
-    TooLate,          ///< it cannot be answered in the time that it has
-    Quarantined,      ///< it crashed the servers that ran it
-    StoreAway,        ///< no more turns can be kept
-    Isolated,         ///< another data centre can serve it better
-    NotRun,           ///< every server that was tried said that it did not run it
-    Lost,             ///< it may have run, its answer is lost
-    TimedOut,         ///< it may have run, no answer in time
-    TimedOutUnsent,   ///< surely not run, no answer in time
+    TooLate,        ///< it cannot be answered in the time that it has
+    Quarantined,    ///< it crashed the servers that ran it
+    StoreAway,      ///< no more turns can be kept
+    Isolated,       ///< another data centre can serve it better
+    NotRun,         ///< every server that was tried said that it did not run it
+    Lost,           ///< it may have run, its answer is lost
+    TimedOut,       ///< it may have run, no answer in time
+    TimedOutUnsent, ///< surely not run, no answer in time
     BadRequest,
 };
 
--- a/src/serving/tests/entryhosttest.cpp
+++ b/src/serving/tests/entryhosttest.cpp
@@ -39,7 +39,7 @@
 
 TEST_GROUP(EntryHost)
 {
-    EntryFleet fleet{2};
+    EntryFleet fleet{{"a", "a"}};
 };
 
 TEST(EntryHost, aTurnIsServedWholeAndStoredBeforeItsEnd)
@@ -258,3 +258,37 @@
     CHECK_FALSE(fleet.isReady(0));
     CHECK_EQUAL(200U, fleet.ask(0, call("/look/x", "l1")).status);
 }
+
+TEST_GROUP(EntryHostsOfTwoDataCentres)
+{
+    EntryFleet fleet{{"a", "b"}};
+
+    /// A turn that generates all that it may.
+    static auto fullTurn(const std::string& id, const std::string& previous)->Ask
+    {
+        auto ask = previous.empty() ? firstTurn(id) : nextTurn(id, previous);
+        ask.headers[1].second = "60";
+        ask.headers[2].second = "100,20";
+        return ask;
+    }
+};
+
+TEST(EntryHostsOfTwoDataCentres, whatOneHostLentIsNotTakenAgainAtTheStoresReturn)
+{
+    fleet.store().setFault(StoreFault::Busy);
+    fleet.runFor(Milliseconds(800));                            // Heartbeats tell of it.
+    CHECK_EQUAL(200U, fleet.ask(0, fullTurn("t1", "")).status); // On lent tokens.
+    fleet.store().setFault(StoreFault::None);
+
+    // The other data centre's home goes first, before the lender has recorded what it lent.
+    auto served = 1;
+    auto isSpent = false;
+    for (auto index = 2; index < 60 && !isSpent; ++index) {
+        const auto status = fleet.ask(1, fullTurn("t" + std::to_string(index), "t1")).status;
+        served += status == 200 ? 1 : 0;
+        isSpent = status == 402;
+        fleet.runFor(Milliseconds(50)); // Callers come back after a while.
+    }
+    CHECK_TRUE(isSpent);
+    CHECK_EQUAL(3, served); // 60 tokens of a budget of 60.
+}
--- a/src/serving/tests/servingdecisionstest.cpp
+++ b/src/serving/tests/servingdecisionstest.cpp
@@ -130,7 +130,10 @@
     ManualClock clock;
     FleetKnowledge knowledge{decoder, clock};
 
-    auto inForce() -> std::int64_t { return knowledge.routes() ? knowledge.routes()->version() : -1; }
+    auto inForce()->std::int64_t
+    {
+        return knowledge.routes() ? knowledge.routes()->version() : -1;
+    }
 };
 
 TEST(FleetKnowledge, aConfigurationNeverGoesBack)
@@ -200,9 +203,7 @@
     CHECK_TRUE(book.slowness("kind", 500) > 4);
 }
 
-TEST_GROUP(Refusals)
-{
-};
+TEST_GROUP(Refusals){};
 
 TEST(Refusals, onlyWhatHasSurelyNotRunIsAnsweredSo)
 {
--- a/src/store/storemessages.cpp
+++ b/src/store/storemessages.cpp
@@ -67,11 +67,8 @@
 
 auto fromMessage(const peers::messages::Listing& message) -> ListRequest
 {
-    return {.table = message.table(),
-            .partition = message.partition(),
-            .from = message.from(),
-            .to = message.to(),
-            .limit = message.limit()};
+    return {
+        .table = message.table(), .partition = message.partition(), .from = message.from(), .to = message.to(), .limit = message.limit()};
 }
 
 auto toMessage(const Row& row) -> peers::messages::Row
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -17,13 +17,13 @@
 enum class EngineFault
 {
     None,
-    NotRun,     ///< 503 that says so
+    NotRun,      ///< 503 that says so
     Misdirected, ///< 421
-    Garbage,    ///< bytes that are no answer
-    Stray,      ///< another request's answer stands before the right one
-    BreakOff,   ///< the stream ends in its middle
-    Unsigned,   ///< a success without a signature
-    Hang,       ///< no answer
+    Garbage,     ///< bytes that are no answer
+    Stray,       ///< another request's answer stands before the right one
+    BreakOff,    ///< the stream ends in its middle
+    Unsigned,    ///< a success without a signature
+    Hang,        ///< no answer
 };
 
 /// A backend server by the platform's published protocol: streams events to POST below /turns/, answers the rest whole.
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -27,17 +27,18 @@
 
 } // namespace
 
-EntryFleet::EntryFleet(std::size_t hosts)
+EntryFleet::EntryFleet(const std::vector<std::string>& dataCentres)
     : m_store(m_context)
     , m_engine(m_context)
 {
     m_store.put("op", "config", configuration(1, 1'000));
     putEngine("engine-1", m_engine.address(), "ready");
+    const auto hosts = dataCentres.size();
     for (auto index = std::size_t{0}; index < hosts; ++index) {
         auto running = std::make_unique<Running>();
         auto& settings = running->settings;
         settings.host = fmt::format("host-{}", index);
-        settings.dataCentre = "a";
+        settings.dataCentre = dataCentres[index];
         settings.callerAddress = freeAddress(m_context, index);
         settings.readyAddress = freeAddress(m_context, index);
         settings.metricsAddress = freeAddress(m_context, index);
@@ -85,8 +86,8 @@
 auto EntryFleet::putEngine(const std::string& id, const std::string& address, const std::string& state) -> void
 {
     m_store.put("servers", id,
-                fmt::format(R"({{"service":"engines","address":"{}","zone":"a","slots":4,"state":"{}","cold_left_ms":0,"born":1}})", address,
-                            state));
+                fmt::format(R"({{"service":"engines","address":"{}","zone":"a","slots":4,"state":"{}","cold_left_ms":0,"born":1}})",
+                            address, state));
 }
 
 auto EntryFleet::until(const std::function<bool()>& condition) -> bool
@@ -113,8 +114,8 @@
 
 auto EntryFleet::requestText(const Ask& request) const -> std::string
 {
-    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nX-Api-Key: {}\r\nContent-Length: {}\r\n", request.method,
-                            request.target, request.id, request.key, request.body.size());
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nX-Api-Key: {}\r\nContent-Length: {}\r\n",
+                            request.method, request.target, request.id, request.key, request.body.size());
     for (const auto& [name, value] : request.headers) {
         text += name + ": " + value + "\r\n";
     }
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -39,7 +39,8 @@
 class EntryFleet
 {
 public:
-    explicit EntryFleet(std::size_t hosts);
+    /// One host for each of `dataCentres`.
+    explicit EntryFleet(const std::vector<std::string>& dataCentres);
     ~EntryFleet();
 
     auto store() -> StoreStandIn& { return m_store; }
--- a/testing/standins/storestandin.cpp
+++ b/testing/standins/storestandin.cpp
@@ -22,8 +22,9 @@
 auto base64(const std::string& bytes) -> std::string
 {
     auto text = std::string(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    text.resize(static_cast<std::size_t>(EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                                         reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()))));
+    text.resize(
+        static_cast<std::size_t>(EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                                 reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()))));
     return text;
 }
 
@@ -74,6 +75,12 @@
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
+auto StoreStandIn::setFault(StoreFault fault) -> void
+{
+    m_fault = fault;
+    m_changed.notify();
+}
+
 auto StoreStandIn::put(const std::string& table, const std::string& key, const std::string& value) -> void
 {
     m_rows[{table, {}, key}] = {.value = base64(value), .version = ++m_version, .isRemoved = false};
@@ -88,8 +95,8 @@
 
 auto StoreStandIn::rows(const std::string& table) const -> std::size_t
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_rows, [&table](const auto& entry) { return entry.first.table == table && !entry.second.isRemoved; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_rows, [&table](const auto& entry) { return entry.first.table == table && !entry.second.isRemoved; }));
 }
 
 auto StoreStandIn::accept() -> asio::awaitable<void>
@@ -114,10 +121,14 @@
         const auto target = std::string(request.target());
         const auto mark = target.find('?');
         auto reply = std::pair(0U, Json());
-        if (m_fault == StoreFault::Busy || m_fault == StoreFault::TooMany) {
-            reply.first = m_fault == StoreFault::Busy ? 503 : 429;
-        } else if (m_fault != StoreFault::Silent) {
-            reply = co_await answer(target.substr(0, mark), queryOf(mark == std::string::npos ? "" : target.substr(mark + 1)), request.body());
+        const auto isRefusing = [this] { return m_fault == StoreFault::Busy || m_fault == StoreFault::TooMany; };
+        if (!isRefusing() && m_fault != StoreFault::Silent) {
+            reply =
+                co_await answer(target.substr(0, mark), queryOf(mark == std::string::npos ? "" : target.substr(mark + 1)), request.body());
+        }
+        const auto isDone = reply.first != 0 && request.method() == http::verb::post;
+        if (isRefusing() && !isDone) {
+            reply = std::pair(m_fault == StoreFault::Busy ? 503U : 429U, Json());
         }
         if (m_fault == StoreFault::Silent) {
             auto pause = asio::steady_timer(m_context, std::chrono::hours(1));
--- a/testing/standins/storestandin.h
+++ b/testing/standins/storestandin.h
@@ -32,7 +32,8 @@
 
     auto endpoint() const -> asio::ip::tcp::endpoint { return m_acceptor.local_endpoint(); }
 
-    auto setFault(StoreFault fault) -> void { m_fault = fault; }
+    /// Calls that the store holds for changes meet the fault as well.
+    auto setFault(StoreFault fault) -> void;
     auto fault() const -> StoreFault { return m_fault; }
 
     /// Changes before now are no longer told.
@@ -67,7 +68,8 @@
 
     auto accept() -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
-    auto answer(const std::string& path, const Query& query, const std::string& body) -> asio::awaitable<std::pair<unsigned, framework::Json>>;
+    auto answer(const std::string& path, const Query& query, const std::string& body)
+        -> asio::awaitable<std::pair<unsigned, framework::Json>>;
     auto transact(const framework::Json& call) -> std::pair<unsigned, framework::Json>;
     auto list(const Query& query) const -> framework::Json;
     auto changes(const Query& query) -> asio::awaitable<std::pair<unsigned, framework::Json>>;
