--- a/src/backends/backendbook.cpp
+++ b/src/backends/backendbook.cpp
@@ -10,12 +10,26 @@
 /// Living servers renew lapsed entries within about two seconds of the store's return (the platform's promise).
 constexpr auto s_lapsedEntryGrace = Milliseconds(2'200);
 
+/// Servers that are gone, remembered for reports of theirs that come late; more than a fleet replaces in a day.
+constexpr auto s_formerKept = std::size_t{2'000};
+
 } // namespace
 
 auto BackendBook::put(const BackendEntry& entry, Instant now) -> void
 {
-    m_lapsed.erase(entry.id);
     auto& known = m_backends[entry.id];
+    const auto isOvertaken = known && (entry.startedAt < known->entry.startedAt ||
+                                       (entry.startedAt == known->entry.startedAt && entry.sequence < known->entry.sequence));
+    const auto former = m_former.find(entry.id);
+    const auto isOfTheGone =
+        !known && former != m_former.end() && former->second.startedAt == entry.startedAt && entry.sequence <= former->second.sequence;
+    if (isOvertaken || isOfTheGone) {
+        if (!known) {
+            m_backends.erase(entry.id);
+        }
+        return; // A report that came late: what the server said since stands.
+    }
+    m_lapsed.erase(entry.id);
     if (known && known->entry.startedAt != entry.startedAt) {
         known->isGone = true;
         known.reset();
@@ -92,6 +106,10 @@
         return;
     }
     found->second->isGone = true;
+    if (m_former.size() >= s_formerKept) {
+        m_former.clear();
+    }
+    m_former[id] = {.startedAt = found->second->entry.startedAt, .sequence = found->second->entry.sequence};
     m_backends.erase(found);
 }
 
--- a/src/backends/backendbook.h
+++ b/src/backends/backendbook.h
@@ -24,6 +24,7 @@
     int slots = 1; ///< requests it works on at once
     bool isDraining = false;
     framework::Milliseconds coldLeft{0}; ///< time until its cold start ends
+    std::int64_t sequence = 0;           ///< rises with each report of one start
     std::int64_t startedAt = 0;          ///< Unix milliseconds; another start under the same id is another server
 
     auto operator==(const BackendEntry&) const -> bool = default;
@@ -81,6 +82,14 @@
 
     std::unordered_map<std::string, BackendPtr> m_backends;
     std::map<std::string, framework::Instant> m_lapsed; ///< id to the moment from which it counts as gone
+    /// The last report of a server that is gone.
+    struct Former
+    {
+        std::int64_t startedAt = 0;
+        std::int64_t sequence = 0;
+    };
+
+    std::unordered_map<std::string, Former> m_former;
     std::set<std::string> m_drainedDataCentres;
     std::uint64_t m_lastNumber = 0;
     bool m_isStoreLost = false;
--- a/src/backends/tests/backendbooktest.cpp
+++ b/src/backends/tests/backendbooktest.cpp
@@ -49,6 +49,37 @@
     CHECK_TRUE(book.find("x")->number != first->number);
 }
 
+TEST(BackendBook, aReportThatWasOvertakenChangesNothing)
+{
+    auto leaving = entry("x", 2);
+    leaving.sequence = 8;
+    leaving.isDraining = true;
+    book.put(leaving, now);
+
+    // An older report of the same start, and one of the start before, come late.
+    auto late = entry("x", 2);
+    late.sequence = 7;
+    book.put(late, now);
+    auto former = entry("x", 1);
+    former.sequence = 90;
+    book.put(former, now);
+    CHECK_EQUAL(0U, book.available("engine").size());
+    CHECK_EQUAL(2, book.find("x")->entry.startedAt);
+}
+
+TEST(BackendBook, aLateReportDoesNotBringBackAServerThatIsGone)
+{
+    auto last = entry("x");
+    last.sequence = 8;
+    book.put(last, now);
+    book.remove("x", false, now);
+    book.put(last, now);
+    CHECK_TRUE(book.find("x") == nullptr);
+    last.sequence = 9;
+    book.put(last, now);
+    CHECK_TRUE(book.find("x") != nullptr);
+}
+
 TEST(BackendBook, anEntryThatIsRemovedIsGoneAtOnce)
 {
     book.put(entry("x"), now);
--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -33,6 +33,10 @@
     /// Whether a host that may be serving is not heard now.
     virtual auto isAnyoneSilent() const -> bool = 0;
 
+    /// Whether turns may be held, or may have been lost with the memory of hosts, that nobody who is heard knows of:
+    /// a host may serve unseen, or as many have started anew lately as hold a turn while the store is away.
+    virtual auto mayHoldUnknownTurns() const -> bool = 0;
+
     /// Whether some host was silent, did not reach the store or held turns that it lacks within the last seconds: tokens may
     /// have been lent that no row shows yet.
     virtual auto wasStoreMissedLately() const -> bool = 0;
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -18,6 +18,9 @@
 /// Data centres lose each other for minutes; a host that was away for an hour is another one.
 constexpr auto s_tracedFor = std::chrono::hours(1);
 
+/// Cuts last minutes; a host that was silent for longer is taken for dead.
+constexpr auto s_unaccountedFor = std::chrono::minutes(10);
+
 auto admittedSince(const messages::Heartbeat& before, const messages::Heartbeat& now) -> std::vector<AdmittedElsewhere>
 {
     auto known = std::map<std::string_view, std::uint64_t>();
@@ -116,6 +119,19 @@
     std::erase_if(m_forgotten, [now](const auto& entry) { return entry.second + s_tracedFor < now; });
 }
 
+auto PeerTable::isAnyoneUnaccounted(Instant now) const -> bool
+{
+    const auto isLate = [now](const auto& entry) { return now < entry.second + s_unaccountedFor; };
+    return heardShare(now) < 1 || std::ranges::any_of(m_forgotten, isLate);
+}
+
+auto PeerTable::restartedSince(std::uint64_t since, Instant now) const -> int
+{
+    const auto peers = heard(now);
+    return static_cast<int>(std::ranges::count_if(
+        peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->last.started_at() > since; }));
+}
+
 auto PeerTable::forgottenAddresses() const -> std::vector<std::string>
 {
     auto found = std::vector<std::string>();
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -70,6 +70,12 @@
     /// Addresses to send heartbeats to.
     auto addresses() const -> std::vector<std::string>;
 
+    /// Whether a host is silent or was forgotten lately, so that it may serve unseen behind a cut.
+    auto isAnyoneUnaccounted(framework::Instant now) const -> bool;
+
+    /// Heard hosts that began after `since` (Unix milliseconds) and have lost what an earlier start of them held.
+    auto restartedSince(std::uint64_t since, framework::Instant now) const -> int;
+
     /// Addresses of hosts that were forgotten. Heartbeats go there now and then: two sides of a long cut have forgotten
     /// each other when it heals.
     auto forgottenAddresses() const -> std::vector<std::string>;
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -63,6 +63,31 @@
     CHECK_EQUAL(1U, table.addresses().size());
 }
 
+TEST(PeerTable, aForgottenHostMayServeUnseenForMinutes)
+{
+    table.receive(beat("10.0.0.2:1", 5, 1), now);
+    CHECK_FALSE(table.isAnyoneUnaccounted(now));
+    const auto later = now + Milliseconds(16'000);
+    CHECK_TRUE(table.isAnyoneUnaccounted(later));
+    table.forget(later);
+    DOUBLES_EQUAL(1, table.heardShare(later), 1e-9);
+    CHECK_TRUE(table.isAnyoneUnaccounted(later));
+    CHECK_FALSE(table.isAnyoneUnaccounted(later + Milliseconds(11 * 60'000)));
+}
+
+TEST(PeerTable, hostsThatStartedAnewAreCountedThoseOfTheFirstStartAreNot)
+{
+    auto first = beat("10.0.0.2:1", 5, 1);
+    first.set_started_at(1'000);
+    first.set_is_first_start(true);
+    table.receive(first, now);
+    auto anew = beat("10.0.0.3:1", 5, 1);
+    anew.set_started_at(2'000);
+    table.receive(anew, now);
+    CHECK_EQUAL(1, table.restartedSince(500, now));
+    CHECK_EQUAL(0, table.restartedSince(2'500, now));
+}
+
 TEST(PeerTable, aHostThatLeavesIsNoLongerCounted)
 {
     table.receive(beat("10.0.0.2:1", 5, 1), now);
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -172,8 +172,7 @@
     const auto key = ProgramKey{.account = writing->turn->account, .program = writing->turn->program};
     const auto program = m_table.find(key);
     // While other hosts may have lent tokens that the row does not show, only the ledger takes more: it asks them first.
-    const auto isLow =
-        program && !m_peers.wasStoreMissedLately() && program->holding.free() * 2 < writing->most * s_halfTurnsAhead;
+    const auto isLow = program && !m_peers.wasStoreMissedLately() && program->holding.free() * 2 < writing->most * s_halfTurnsAhead;
     if (!program || program->isRowBeingWritten || !(program->lent > 0 || (program->isRowKnown && isLow))) {
         return;
     }
@@ -340,7 +339,7 @@
     auto request = peers::messages::Request();
     request.mutable_turn_query()->add_ids(id);
     // A host that is heard only while the others answer was not asked.
-    const auto wasAnyoneSilent = m_peers.isAnyoneSilent();
+    const auto mayBeUnknown = m_peers.mayHoldUnknownTurns();
     const auto addresses = m_peers.everyone();
     const auto answers = co_await peers::askAll(m_peers, addresses, std::move(request), s_queryTimeout,
                                                 [](const auto& response) { return response.turns_size() > 0; });
@@ -348,7 +347,7 @@
         takeTurns(response);
     }
     // A host that does not answer may hold turns that the store lacks.
-    co_return TurnSearch{.turn = findHere(id), .isCertain = answers.failed == 0 && !wasAnyoneSilent};
+    co_return TurnSearch{.turn = findHere(id), .isCertain = answers.failed == 0 && !mayBeUnknown};
 }
 
 auto TurnJournal::findAncestor(Ancestor ancestor) -> Async<TurnPtr>
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -38,6 +38,12 @@
 /// Hosts that were cut off or without a store record what they lent within this after their return.
 constexpr auto s_storeMissedMemory = Milliseconds(10'000);
 
+/// Turns are kept for a minute on the platform's routes; clocks of hosts differ by seconds.
+constexpr auto s_turnRetention = Milliseconds(70'000);
+
+/// The host that ran a turn and two others hold it while the store is away.
+constexpr auto s_turnHolders = 3;
+
 /// Addresses told in one heartbeat: enough that a new host soon knows all.
 constexpr auto s_addressesTold = std::size_t{8};
 
@@ -51,6 +57,7 @@
     : m_executor(executor)
     , m_settings(settings)
     , m_incarnation(incarnation)
+    , m_startedAt(static_cast<std::uint64_t>(framework::unixMilliseconds(clock.wallTime())))
     , m_clock(clock)
     , m_metrics(metrics)
     , m_state(state)
@@ -128,6 +135,8 @@
     beat.set_host(m_settings.host);
     beat.set_incarnation(m_incarnation);
     beat.set_sequence(m_sequence);
+    beat.set_started_at(m_startedAt);
+    beat.set_is_first_start(m_settings.isFirstStart);
     beat.set_data_centre(m_settings.dataCentre);
     beat.set_address(m_settings.peerAddress);
     beat.set_is_ready(m_isReady);
@@ -320,6 +329,15 @@
     return !m_suspects.empty() || m_table.heardShare(m_clock.now()) < 1;
 }
 
+auto FleetLink::mayHoldUnknownTurns() const -> bool
+{
+    const auto now = m_clock.now();
+    const auto since = static_cast<std::uint64_t>(framework::unixMilliseconds(m_clock.wallTime() - s_turnRetention));
+    const auto ownRestart = !m_settings.isFirstStart && m_startedAt > since ? 1 : 0;
+    const auto restarted = m_table.restartedSince(since, now) + ownRestart;
+    return !m_suspects.empty() || m_table.isAnyoneUnaccounted(now) || restarted >= s_turnHolders;
+}
+
 auto FleetLink::wasStoreMissedLately() const -> bool
 {
     return m_storeMissedAt != framework::Instant{} && m_clock.now() < m_storeMissedAt + s_storeMissedMemory;
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -54,6 +54,7 @@
     auto keepers(std::string_view program) const -> std::vector<std::string> override;
     auto storeHelpers() const -> std::vector<std::string> override;
     auto isAnyoneSilent() const -> bool override;
+    auto mayHoldUnknownTurns() const -> bool override;
     auto wasStoreMissedLately() const -> bool override;
     auto hasWrittenAll(std::string_view address) const -> bool override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
@@ -85,6 +86,7 @@
     framework::asio::any_io_executor m_executor;
     const HostSettings& m_settings;
     std::uint64_t m_incarnation;
+    std::uint64_t m_startedAt; ///< Unix milliseconds
     const framework::IClock& m_clock;
     framework::Metrics& m_metrics;
     SharedState& m_state;
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -20,6 +20,7 @@
     std::string peerAddress;                   ///< IP:PORT towards other hosts, TCP and UDP
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
+    bool isFirstStart = false;                 ///< of the whole system: nothing was served before
     std::uint64_t memoryBytes = 0;
     framework::Milliseconds stopGrace{8'000}; ///< from the order to stop until the process is killed
 };
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -44,6 +44,7 @@
         settings.metricsAddress = freeAddress(m_context, index);
         settings.peerAddress = freeAddress(m_context, index);
         settings.storeAddress = fmt::format("127.0.0.1:{}", m_store.endpoint().port());
+        settings.isFirstStart = true;
         settings.memoryBytes = 100 * 1024 * 1024;
         settings.stopGrace = Milliseconds(6'000);
         running->metrics = std::make_unique<framework::Metrics>();
