Heartbeats tell only counts that changed, servers by hash, addresses now and then

Change: an account's count is told three times after it changed; debts of a limit reach five seconds, since heartbeats are 0.6 s apart there.

--- a/src/accounts/fleetlimiter.cpp
+++ b/src/accounts/fleetlimiter.cpp
@@ -22,7 +22,7 @@
 constexpr auto s_keptShare = 0.25;
 
 /// A bucket may owe this much of its rate for what other hosts admitted at the same time.
-constexpr auto s_largestDebtSeconds = 2.0;
+constexpr auto s_largestDebtSeconds = 5.0;
 
 } // namespace
 
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -1,5 +1,7 @@
 #include "peers/peertable.h"
 
+#include "framework/global/digest.h"
+
 #include <algorithm>
 
 namespace laburnummill::peers {
@@ -21,15 +23,15 @@
 /// Cuts last minutes; a host that was silent for longer is taken for dead.
 constexpr auto s_unaccountedFor = std::chrono::minutes(10);
 
-auto admittedSince(const messages::Heartbeat& before, const messages::Heartbeat& now) -> std::vector<AdmittedElsewhere>
+/// What `heartbeat` tells beyond `known`, which it updates. The first count of an account is no news: a host that began
+/// lately does not know what others admitted before.
+auto admittedSince(std::map<std::string, std::uint64_t>& known, const messages::Heartbeat& heartbeat) -> std::vector<AdmittedElsewhere>
 {
-    auto known = std::map<std::string_view, std::uint64_t>();
-    for (const auto& use : before.accounts()) {
-        known[use.account()] = use.admitted();
-    }
     auto news = std::vector<AdmittedElsewhere>();
-    for (const auto& use : now.accounts()) {
-        const auto difference = static_cast<std::int64_t>(use.admitted()) - static_cast<std::int64_t>(known[use.account()]);
+    for (const auto& use : heartbeat.accounts()) {
+        const auto [count, isNew] = known.try_emplace(use.account(), use.admitted());
+        const auto difference = static_cast<std::int64_t>(use.admitted()) - static_cast<std::int64_t>(count->second);
+        count->second = use.admitted();
         if (difference != 0) {
             news.push_back({.account = use.account(), .requests = difference});
         }
@@ -65,12 +67,10 @@
         return {.isStale = true, .isFirst = false, .admitted = {}};
     }
     auto news = HeartbeatNews{.isStale = false, .isFirst = !isSameStart, .admitted = {}};
-    if (isSameStart) {
-        news.admitted = admittedSince(peer.last, heartbeat);
-    } else if (peer.last.incarnation() != 0) {
-        // Started anew: all that it counts came since it was heard last.
-        news.admitted = admittedSince(messages::Heartbeat(), heartbeat);
+    if (!isSameStart) {
+        peer.admitted.clear();
     }
+    news.admitted = admittedSince(peer.admitted, heartbeat);
     peer.last = heartbeat;
     peer.heardAt = now;
     return news;
@@ -150,9 +150,9 @@
     return found;
 }
 
-auto PeerTable::runningElsewhere(Instant now) const -> std::map<std::string, int, std::less<>>
+auto PeerTable::runningElsewhere(Instant now) const -> std::map<std::uint32_t, int>
 {
-    auto running = std::map<std::string, int, std::less<>>();
+    auto running = std::map<std::uint32_t, int>();
     for (const auto* peer : heard(now)) {
         for (const auto& use : peer->last.backends()) {
             running[use.backend()] += static_cast<int>(use.running());
@@ -161,6 +161,11 @@
     return running;
 }
 
+auto backendHash(std::string_view id) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(framework::hash64(id));
+}
+
 auto PeerTable::isAnyKnown(const Filter& filter) const -> bool
 {
     return std::ranges::any_of(m_peers, [&filter](const auto& entry) { return filter(entry.second); });
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -15,8 +15,9 @@
 /// Another host as it was heard last.
 struct Peer
 {
-    std::string address;      ///< of its peer port, IP:PORT
-    messages::Heartbeat last; ///< empty where it was never heard
+    std::string address;                           ///< of its peer port, IP:PORT
+    messages::Heartbeat last;                      ///< empty where it was never heard
+    std::map<std::string, std::uint64_t> admitted; ///< of its present start, by client account
     framework::Instant knownSince{};
     framework::Instant heardAt{}; ///< the epoch where it was never heard
 };
@@ -80,8 +81,8 @@
     /// each other when it heals.
     auto forgottenAddresses() const -> std::vector<std::string>;
 
-    /// Requests of all heard hosts under way, by backend server.
-    auto runningElsewhere(framework::Instant now) const -> std::map<std::string, int, std::less<>>;
+    /// Requests of all heard hosts under way, by backend server (see backendHash()).
+    auto runningElsewhere(framework::Instant now) const -> std::map<std::uint32_t, int>;
 
 private:
     static auto isHeard(const Peer& peer, framework::Instant now) -> bool;
@@ -91,4 +92,7 @@
     std::map<std::string, framework::Instant, std::less<>> m_forgotten;
 };
 
+/// How heartbeats name a backend server.
+auto backendHash(std::string_view id) -> std::uint32_t;
+
 } // namespace laburnummill::peers
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -46,6 +46,10 @@
 
 /// Addresses told in one heartbeat: enough that a new host soon knows all.
 constexpr auto s_addressesTold = std::size_t{8};
+constexpr auto s_beatsPerAddresses = std::uint64_t{5};
+
+/// A count is told again in case datagrams are lost.
+constexpr auto s_timesTold = 3;
 
 constexpr auto s_operatorTable = "operator";
 constexpr auto s_backendTable = "backends";
@@ -129,7 +133,23 @@
     }
 }
 
-auto FleetLink::makeHeartbeat() const -> messages::Heartbeat
+auto FleetLink::addCounts(messages::Heartbeat& beat) -> void
+{
+    for (const auto& [account, admitted] : m_state.limiter.admitted()) {
+        auto& told = m_told[account];
+        if (told.admitted != admitted) {
+            told = {.admitted = admitted, .beatsLeft = s_timesTold};
+        }
+        if (told.beatsLeft > 0) {
+            --told.beatsLeft;
+            auto* use = beat.add_accounts();
+            use->set_account(account);
+            use->set_admitted(admitted);
+        }
+    }
+}
+
+auto FleetLink::makeHeartbeat() -> messages::Heartbeat
 {
     auto beat = messages::Heartbeat();
     beat.set_host(m_settings.host);
@@ -146,15 +166,11 @@
     beat.set_operator_version(m_state.knowledge.operatorTable().newestRow());
     beat.set_backend_version(m_state.knowledge.backendTable().newestRow());
     beat.set_unwritten_turns(static_cast<std::uint32_t>(m_state.journal->unwritten()));
-    for (const auto& [account, admitted] : m_state.limiter.admitted()) {
-        auto* use = beat.add_accounts();
-        use->set_account(account);
-        use->set_admitted(admitted);
-    }
+    addCounts(beat);
     for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
         if (backend->running > 0) {
             auto* use = beat.add_backends();
-            use->set_backend(id);
+            use->set_backend(peers::backendHash(id));
             use->set_running(static_cast<std::uint32_t>(backend->running));
         }
     }
@@ -165,7 +181,8 @@
     }
     // Only hosts that are heard are passed on: one that is gone would be told around for ever.
     const auto addresses = everyone();
-    for (auto index = std::size_t{0}; index < std::min(addresses.size(), s_addressesTold); ++index) {
+    const auto told = m_sequence % s_beatsPerAddresses == 0 ? std::min(addresses.size(), s_addressesTold) : 0;
+    for (auto index = std::size_t{0}; index < told; ++index) {
         beat.add_known_addresses(addresses[(m_sequence * s_addressesTold + index) % addresses.size()]);
     }
     return beat;
@@ -175,7 +192,7 @@
 {
     const auto running = m_table.runningElsewhere(m_clock.now());
     for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
-        const auto found = running.find(id);
+        const auto found = running.find(peers::backendHash(id));
         backend->runningElsewhere = found == running.end() ? 0 : found->second;
     }
 }
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -75,7 +75,8 @@
     auto rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>;
     auto answerGrant(peers::messages::GrantQuery query) -> framework::Async<peers::messages::Response>;
     auto beatLoop() -> framework::Async<void>;
-    auto makeHeartbeat() const -> peers::messages::Heartbeat;
+    auto makeHeartbeat() -> peers::messages::Heartbeat;
+    auto addCounts(peers::messages::Heartbeat& beat) -> void;
     auto sendToAll() -> void;
     auto refreshRunningElsewhere() -> void;
     auto noteStoreMissed() -> void;
@@ -92,6 +93,14 @@
     SharedState& m_state;
     peers::PeerTable m_table;
     peers::PeerPort m_port;
+    /// A client account's count as it was told last, and how often it is to be told yet.
+    struct ToldCount
+    {
+        std::uint64_t admitted = 0;
+        int beatsLeft = 0;
+    };
+
+    std::map<std::string, ToldCount, std::less<>> m_told;
     std::uint64_t m_sequence = 0;
     std::set<std::string, std::less<>> m_suspects; ///< did not answer a call, and were not heard since
     framework::Instant m_storeMissedAt{};
