--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -198,6 +198,12 @@
     return program ? program->holding.reserved() : 0;
 }
 
+auto BudgetLedger::left(const ProgramKey& key) const -> std::uint64_t
+{
+    const auto program = m_table.find(key);
+    return program ? m_table.left(*program) : 0;
+}
+
 auto BudgetLedger::knows(const ProgramKey& key) const -> bool
 {
     const auto program = m_table.find(key);
@@ -380,10 +386,15 @@
     for (const auto& response : answers.responses) {
         program->holding.receive(response.granted());
         others.isSomeUnderWay = others.isSomeUnderWay || response.reserved() > 0;
-        const auto goesBefore = response.knows_program() && response.address() < m_peers.ownAddress();
-        if (goesBefore && (others.lender.empty() || response.address() < others.lender)) {
+        // A host that has lent goes on lending; else the one with the lowest address of those that know the program.
+        const auto isBefore = response.has_lent() != (program->lent > 0) ? response.has_lent() : response.address() < m_peers.ownAddress();
+        const auto isBest = others.lender.empty() || response.has_lent() || response.address() < others.lender;
+        if (response.knows_program() && isBefore && isBest) {
             others.lender = response.address();
         }
+        if (response.knows_program()) {
+            others.left = std::min<std::uint64_t>(others.left, response.left());
+        }
         lent += response.lent();
         held = std::max<std::uint64_t>(held, response.lent());
     }
@@ -405,7 +416,8 @@
     // A program that has no row yet began in this outage. Should all hosts lose their memory now, its turns are gone with
     // what was lent, so that nothing goes on from them.
     const auto limit = lendingLimit(program, most);
-    const auto room = std::min(m_table.left(program), limit - std::min(limit, program.lent));
+    const auto left = std::min(m_table.left(program), others.left);
+    const auto room = std::min(left - std::min(left, others.lent), limit - std::min(limit, program.lent));
     const auto free = program.holding.free();
     const auto tokens = std::min(most, free + room);
     if (!mayLend || static_cast<double>(tokens) < s_leastLentShare * static_cast<double>(most)) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -5,6 +5,7 @@
 #include "programs/programtable.h"
 #include "store/istore.h"
 
+#include <limits>
 #include <optional>
 #include <random>
 
@@ -60,6 +61,9 @@
     /// Tokens lent here that the program's row does not show yet.
     auto lent(const ProgramKey& key) const -> std::uint64_t;
 
+    /// Tokens of a program's budget that no host has taken, as far as its row is known here.
+    auto left(const ProgramKey& key) const -> std::uint64_t;
+
     /// Whether this host has handed out tokens of the program, or has read its row.
     auto knows(const ProgramKey& key) const -> bool;
 
@@ -77,6 +81,7 @@
     {
         bool isSomeUnderWay = false; ///< some have turns of it under way, and may have tokens left soon
         std::string lender;          ///< one that knows the program and goes before this host where tokens are lent; may be empty
+        std::uint64_t left = std::numeric_limits<std::uint64_t>::max(); ///< of the budget, by the newest row that any knows
         std::uint64_t lent = 0;      ///< handed out and perhaps not shown by the row
     };
 
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -429,6 +429,8 @@
     const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
     response.set_knows_program(m_state.budgets->knows(key));
     response.set_address(m_settings.peerAddress);
+    response.set_has_lent(m_state.budgets->lent(key) > 0);
+    response.set_left(m_state.budgets->left(key));
     response.set_lent(std::max(m_state.budgets->lent(key), m_state.journal->heldTokens(key)));
     if (query.may_take_more()) {
         const auto reservation = co_await m_state.budgets->reserveFor(key, query.budget(), query.tokens(), query.is_first_turn());
