--- a/src/programs/turn.cpp
+++ b/src/programs/turn.cpp
@@ -30,6 +30,11 @@
     return "programs-" + std::to_string(partition);
 }
 
+auto turnRow(const std::string& id, std::uint32_t partition) -> store::RowAddress
+{
+    return {.table = "turns", .partition = partitionName(partition), .key = id};
+}
+
 auto encodeTurn(const Turn& turn) -> std::string
 {
     auto record = records::TurnRecord();
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/result.h"
 #include "framework/global/time.h"
+#include "store/storetypes.h"
 
 #include <cstdint>
 #include <list>
@@ -32,6 +33,9 @@
 /// Name of a partition in the store.
 auto partitionName(std::uint32_t partition) -> std::string;
 
+/// Where a turn's row lies.
+auto turnRow(const std::string& id, std::uint32_t partition) -> store::RowAddress;
+
 /// A turn that another one continues.
 struct Ancestor
 {
--- /dev/null
+++ b/src/serving/fleetanswers.cpp
@@ -0,0 +1,118 @@
+#include "serving/fleetlink.h"
+
+#include "framework/logging/log.h"
+#include "store/storemessages.h"
+
+#include <algorithm>
+
+// What this host answers to the calls of others.
+
+namespace laburnummill::serving {
+
+namespace {
+
+using framework::Async;
+namespace messages = peers::messages;
+
+} // namespace
+
+auto FleetLink::onRequest(messages::Request request) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    switch (request.body_case()) {
+    case messages::Request::kTransaction:
+    case messages::Request::kListing:
+        co_return co_await answerStoreCall(request);
+    case messages::Request::kChanges:
+        co_return answerChanges(request.changes());
+    case messages::Request::kTurnQuery:
+        for (const auto& id : request.turn_query().ids()) {
+            if (const auto turn = m_state.journal->findHere(id)) {
+                response.add_turns(programs::encodeTurn(*turn));
+            }
+        }
+        break;
+    case messages::Request::kEndedTurn: {
+        const auto& ended = request.ended_turn();
+        m_state.budgets->takeBack({.account = ended.account(), .program = ended.program()}, ended.returned_tokens());
+        m_state.journal->remember(ended.record());
+        break;
+    }
+    case messages::Request::kKeptTurns: {
+        const auto& kept = request.kept_turns();
+        m_state.journal->keepFor(kept.origin(), {kept.records().begin(), kept.records().end()});
+        break;
+    }
+    case messages::Request::kGrantQuery:
+        co_return co_await answerGrant(request.grant_query());
+    case messages::Request::BODY_NOT_SET:
+        framework::logEvent(framework::LogLevel::Warning, "peers", "request_unknown");
+        break;
+    }
+    co_return response;
+}
+
+auto FleetLink::answerGrant(messages::GrantQuery query) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
+    response.set_knows_program(m_state.budgets->knows(key));
+    response.set_address(m_settings.peerAddress);
+    response.set_has_lent(m_state.budgets->lent(key) > 0);
+    response.set_left(m_state.budgets->left(key));
+    response.set_lent(std::max(m_state.budgets->lent(key), m_state.journal->heldTokens(key)));
+    if (query.may_take_more()) {
+        const auto reservation = co_await m_state.budgets->reserveFor(key, query.budget(), query.tokens(), query.is_first_turn());
+        response.set_granted(reservation.tokens);
+        response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
+    } else {
+        response.set_granted(m_state.budgets->giveAway(key, query.tokens()));
+    }
+    response.set_reserved(m_state.budgets->reserved(key));
+    co_return response;
+}
+
+auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
+{
+    auto response = messages::Response();
+    const auto setError = [&response](const std::error_code& error) {
+        response.set_store_error(static_cast<std::uint32_t>(error.value()));
+    };
+    m_metrics.count("store_calls_for_peers");
+    if (request.has_transaction()) {
+        const auto reply = co_await m_state.directStore.transact(store::fromMessage(request.transaction()));
+        if (!reply) {
+            setError(reply.error());
+            co_return response;
+        }
+        response.set_is_applied(reply.value().isApplied);
+        response.set_version(reply.value().version);
+        for (const auto& row : reply.value().currentRows) {
+            *response.add_rows() = store::toMessage(row);
+        }
+        co_return response;
+    }
+    const auto page = co_await m_state.directStore.list(store::fromMessage(request.listing()));
+    if (!page) {
+        setError(page.error());
+        co_return response;
+    }
+    response.set_version(page.value().version);
+    response.set_has_more(page.value().hasMore);
+    for (const auto& row : page.value().rows) {
+        *response.add_rows() = store::toMessage(row);
+    }
+    co_return response;
+}
+
+auto FleetLink::answerChanges(const messages::Changes& changes) const -> messages::Response
+{
+    auto response = messages::Response();
+    const auto& copy = changes.table() == s_operatorRows ? m_state.knowledge.operatorTable() : m_state.knowledge.backendTable();
+    for (const auto& row : copy.since(changes.after())) {
+        *response.add_rows() = store::toMessage(row);
+    }
+    return response;
+}
+
+} // namespace laburnummill::serving
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -17,6 +17,10 @@
 
 namespace laburnummill::serving {
 
+/// How hosts name the two tables that they tell each other of.
+inline constexpr auto s_operatorRows = "operator";
+inline constexpr auto s_backendRows = "backends";
+
 /// What this host shares with others, and takes from them.
 struct SharedState
 {
