--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -82,7 +82,7 @@
         bool isSomeUnderWay = false; ///< some have turns of it under way, and may have tokens left soon
         std::string lender;          ///< one that knows the program and goes before this host where tokens are lent; may be empty
         std::uint64_t left = std::numeric_limits<std::uint64_t>::max(); ///< of the budget, by the newest row that any knows
-        std::uint64_t lent = 0;      ///< handed out and perhaps not shown by the row
+        std::uint64_t lent = 0;                                         ///< handed out and perhaps not shown by the row
     };
 
     struct RefillState
