Test hosts never get an address twice

Cause: entryhost aborted once in four runs (bind: address in use): the system named the port of a closed probe again. Change: addresses given once are not given again. Conclusion: a fault of the harness, not of the host.

--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <set>
+
 namespace laburnummill::testing {
 
 namespace {
@@ -20,9 +22,16 @@
 /// Addresses of a data centre's host: each has an IP of its own, so that ports do not meet.
 auto freeAddress(asio::io_context& context, std::size_t host) -> std::string
 {
+    static auto given = std::set<std::string>();
     const auto ip = fmt::format("127.0.0.{}", 11 + host);
-    auto probe = asio::ip::tcp::acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0));
-    return fmt::format("{}:{}", ip, probe.local_endpoint().port());
+    while (true) {
+        // The system may name a port again as soon as its probe is closed.
+        auto probe = asio::ip::tcp::acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(ip), 0));
+        auto address = fmt::format("{}:{}", ip, probe.local_endpoint().port());
+        if (given.insert(address).second) {
+            return address;
+        }
+    }
 }
 
 } // namespace
