Two fields that nobody read are gone

Cause: a server's address in BackendTarget and the running count in ReplyMarks were set and never read. Change: removed. Conclusion: no decision depends on them.

--- a/src/serving/iwire.h
+++ b/src/serving/iwire.h
@@ -13,10 +13,9 @@
 struct ReplyMarks
 {
     std::string requestId;
-    bool isSigned = false;      ///< carries the signature without which a success does not count
-    bool saysNotRun = false;    ///< states that the request was not run
-    std::optional<int> waiting; ///< requests that wait at the server
-    std::optional<int> running;
+    bool isSigned = false;                              ///< carries the signature without which a success does not count
+    bool saysNotRun = false;                            ///< states that the request was not run
+    std::optional<int> waiting;                         ///< requests that wait at the server
     std::optional<framework::Milliseconds> idleTimeout; ///< of the connection
     bool isEncoded = false;                             ///< the body is not as the server made it
 };
@@ -27,7 +26,6 @@
     std::string instance;
     std::string account; ///< empty where the route is open
     framework::Milliseconds timeLeft{0};
-    std::string address;
 };
 
 /// Names and formats of requests and replies; decides nothing.
--- a/src/serving/requestrun.cpp
+++ b/src/serving/requestrun.cpp
@@ -206,8 +206,7 @@
 auto RequestRun::attemptOnce(const BackendPtr& backend) -> Async<AttemptResult>
 {
     ++backend->running;
-    const auto target =
-        BackendTarget{.instance = backend->entry.id, .account = m_account, .timeLeft = timeLeft(), .address = backend->entry.address};
+    const auto target = BackendTarget{.instance = backend->entry.id, .account = m_account, .timeLeft = timeLeft()};
     const auto began = m_parts.clock.now();
     auto result = co_await m_parts.exchange.attempt(backend, m_request, target, m_route->kind == RequestKind::Stream ? this : nullptr,
                                                     m_cancellation);
