A fault soak of its own: the real program on many hosts, faults from outside, promises checked while it runs

Change: testing/faultsoak starts one process a host behind loopback proxies (store, other hosts, backend servers), draws series of 28 kinds of faults from a seed (kills, freezes, rolls, reloads, store refusing, silent, losing answers or its history, paths cut, slow, reset or dead, data centres cut one way or both, backend servers that refuse, garble, break off, hang), and checks twelve promises from what callers and backend servers see. A host can listen for others elsewhere than at its told address (--peer-listen), so that a proxy may stand there. The stand-in of a backend server takes a script. Conclusion: what it does not show: clocks (hosts use the time of day only to tell how long ago they began) and losses of more than two hosts in an outage of the whole store, which the design does not bear.

--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -63,7 +63,7 @@
     , m_metrics(metrics)
     , m_state(state)
     , m_table(settings.peerAddress)
-    , m_port(executor, peers::endpointOf(settings.peerAddress).value(), *this)
+    , m_port(executor, peers::endpointOf(settings.peerListen.value_or(settings.peerAddress)).value(), *this)
 {
     for (const auto& seed : settings.seedPeers) {
         learn(seed);
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -17,7 +17,8 @@
     std::string callerAddress;                 ///< IP:PORT where callers connect
     std::string readyAddress;                  ///< IP:PORT that tells whether the host takes callers
     std::optional<std::string> metricsAddress; ///< IP:PORT of metrics and state dump
-    std::string peerAddress;                   ///< IP:PORT towards other hosts, TCP and UDP
+    std::string peerAddress;                   ///< IP:PORT at which other hosts reach this one, TCP and UDP
+    std::optional<std::string> peerListen;     ///< IP:PORT to listen on for them, where it is not `peerAddress`
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
     bool isFirstStart = false;                 ///< of the whole system: nothing was served before
--- /dev/null
+++ b/testing/faultsoak/faultplayer.cpp
@@ -0,0 +1,237 @@
+#include "faultplayer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <optional>
+
+namespace laburnummill::testing {
+
+namespace {
+
+using framework::Milliseconds;
+
+constexpr auto s_look = Milliseconds(20);
+
+auto storeFaultOf(FaultKind kind) -> std::optional<StoreFault>
+{
+    switch (kind) {
+    case FaultKind::StoreBusy:
+        return StoreFault::Busy;
+    case FaultKind::StoreTooMany:
+        return StoreFault::TooMany;
+    case FaultKind::StoreSilent:
+        return StoreFault::Silent;
+    case FaultKind::StoreLosesAnswers:
+        return StoreFault::LostAnswer;
+    default:
+        return std::nullopt;
+    }
+}
+
+auto engineFaultOf(FaultKind kind) -> std::optional<EngineFault>
+{
+    switch (kind) {
+    case FaultKind::EngineRefuses:
+        return EngineFault::NotRun;
+    case FaultKind::EngineElsewhere:
+        return EngineFault::Misdirected;
+    case FaultKind::EngineGarbage:
+        return EngineFault::Garbage;
+    case FaultKind::EngineStray:
+        return EngineFault::Stray;
+    case FaultKind::EngineBreaksOff:
+        return EngineFault::BreakOff;
+    case FaultKind::EngineUnsigned:
+        return EngineFault::Unsigned;
+    case FaultKind::EngineHangs:
+        return EngineFault::Hang;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+FaultPlayer::FaultPlayer(asio::io_context& context, SoakFleet& fleet, std::vector<Fault> faults)
+    : m_context(context)
+    , m_fleet(fleet)
+    , m_faults(std::move(faults))
+{}
+
+auto FaultPlayer::play() -> asio::awaitable<void>
+{
+    for (auto number = std::size_t{0}; number < m_faults.size(); ++number) {
+        ++m_underWay;
+        asio::co_spawn(m_context, playOne(number), asio::detached);
+    }
+    while (m_underWay > 0) {
+        co_await rest(s_look);
+    }
+}
+
+auto FaultPlayer::playOne(std::size_t number) -> asio::awaitable<void>
+{
+    const auto fault = m_faults[number];
+    co_await rest(fault.at);
+    if (fault.kind == FaultKind::HostRolled) {
+        co_await roll(hostOf(fault));
+    } else {
+        begin(number);
+        co_await rest(fault.time);
+        end(number);
+    }
+    --m_underWay;
+}
+
+auto FaultPlayer::begin(std::size_t number) -> void
+{
+    const auto& fault = m_faults[number];
+    const auto host = hostOf(fault);
+    const auto engine = engineOf(fault);
+    if (const auto state = storeFaultOf(fault.kind)) {
+        m_fleet.store().setFault(m_store.push(number, *state));
+        return;
+    }
+    if (const auto state = engineFaultOf(fault.kind)) {
+        m_fleet.engine(engine).setFault(m_engines[engine].push(number, *state));
+        return;
+    }
+    switch (fault.kind) {
+    case FaultKind::HostKilled:
+        return setDown(host, true);
+    case FaultKind::HostFrozen:
+        return setFrozen(host, true);
+    case FaultKind::HostReloaded:
+        return m_fleet.signal(host, SIGHUP);
+    case FaultKind::StoreHistoryDropped:
+        return m_fleet.store().dropHistory();
+    case FaultKind::StorePathCut:
+        return m_fleet.storePath(host).setState(m_storePaths[host].push(number, PathState::Silent));
+    case FaultKind::StorePathSlow:
+        return m_fleet.storePath(host).setState(m_storePaths[host].push(number, PathState::Slow));
+    case FaultKind::StorePathReset:
+        return m_fleet.storePath(host).setState(m_storePaths[host].push(number, PathState::Refused));
+    case FaultKind::DataCentresCut:
+    case FaultKind::DataCentresCutOneWay:
+        return cutDataCentres(fault, true);
+    case FaultKind::PeerPathSilent:
+        return m_fleet.peerPath(host).setState(m_peerPaths[host].push(number, PathState::SilentBack));
+    case FaultKind::PeerPathReset:
+        return m_fleet.peerPath(host).reset();
+    case FaultKind::PeerPathDead:
+        return m_fleet.peerPath(host).silenceOpen();
+    case FaultKind::EnginePathCut:
+        return m_fleet.enginePath(engine).setState(m_enginePaths[engine].push(number, PathState::Silent));
+    case FaultKind::EnginePathReset:
+        return m_fleet.enginePath(engine).reset();
+    case FaultKind::EngineDrains:
+        return m_fleet.putEngine(engine, "draining");
+    case FaultKind::KeyWithdrawn:
+        return m_fleet.putConfiguration(false);
+    default:
+        return;
+    }
+}
+
+auto FaultPlayer::end(std::size_t number) -> void
+{
+    const auto& fault = m_faults[number];
+    const auto host = hostOf(fault);
+    const auto engine = engineOf(fault);
+    if (storeFaultOf(fault.kind)) {
+        m_fleet.store().setFault(m_store.remove(number));
+        return;
+    }
+    if (engineFaultOf(fault.kind)) {
+        m_fleet.engine(engine).setFault(m_engines[engine].remove(number));
+        return;
+    }
+    switch (fault.kind) {
+    case FaultKind::HostKilled:
+        return setDown(host, false);
+    case FaultKind::HostFrozen:
+        return setFrozen(host, false);
+    case FaultKind::StorePathCut:
+    case FaultKind::StorePathSlow:
+    case FaultKind::StorePathReset:
+        return m_fleet.storePath(host).setState(m_storePaths[host].remove(number));
+    case FaultKind::DataCentresCut:
+    case FaultKind::DataCentresCutOneWay:
+        return cutDataCentres(fault, false);
+    case FaultKind::PeerPathSilent:
+        return m_fleet.peerPath(host).setState(m_peerPaths[host].remove(number));
+    case FaultKind::EnginePathCut:
+        return m_fleet.enginePath(engine).setState(m_enginePaths[engine].remove(number));
+    case FaultKind::EngineDrains:
+        return m_fleet.putEngine(engine, "ready");
+    case FaultKind::KeyWithdrawn:
+        return m_fleet.putConfiguration(true);
+    default:
+        return;
+    }
+}
+
+auto FaultPlayer::setDown(int host, bool isDown) -> void
+{
+    auto& faults = m_down[host];
+    faults += isDown ? 1 : -1;
+    if (isDown) {
+        m_fleet.kill(host);
+    } else if (faults == 0 && !m_fleet.isRunning(host)) {
+        m_fleet.start(host, false);
+    }
+}
+
+auto FaultPlayer::setFrozen(int host, bool isFrozen) -> void
+{
+    auto& faults = m_frozen[host];
+    faults += isFrozen ? 1 : -1;
+    if (isFrozen && !m_rolling.contains(host)) {
+        m_fleet.signal(host, SIGSTOP); // One that is told to stop would miss its grace.
+    } else if (!isFrozen && faults == 0) {
+        m_fleet.signal(host, SIGCONT);
+    }
+}
+
+auto FaultPlayer::roll(int host) -> asio::awaitable<void>
+{
+    if (m_frozen[host] > 0 || !m_fleet.isRunning(host) || !m_rolling.insert(host).second) {
+        co_return;
+    }
+    m_fleet.askToStop(host);
+    while (!m_fleet.hasStopped(host)) {
+        co_await rest(s_look);
+    }
+    m_rolling.erase(host);
+    if (m_down[host] == 0 && !m_fleet.isRunning(host)) {
+        m_fleet.start(host, false);
+    }
+}
+
+auto FaultPlayer::cutDataCentres(const Fault& fault, bool isCut) -> void
+{
+    const auto count = m_fleet.dataCentres();
+    const auto from = fault.target % count;
+    const auto to = (from + 1) % count;
+    const auto set = [this, isCut](int one, int other) {
+        auto& cuts = m_cuts[{one, other}];
+        cuts += isCut ? 1 : -1;
+        m_fleet.cut(one, other, cuts > 0);
+    };
+    set(from, to);
+    if (fault.kind == FaultKind::DataCentresCut) {
+        set(to, from);
+    }
+}
+
+auto FaultPlayer::rest(Milliseconds time) -> asio::awaitable<void>
+{
+    auto timer = asio::steady_timer(m_context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace laburnummill::testing
--- /dev/null
+++ b/testing/faultsoak/soakfleet.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "faultproxy.h"
+#include "promises.h"
+#include "standins/enginestandin.h"
+#include "standins/storestandin.h"
+#include "support/childprocess.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnummill::testing {
+
+/// What a run starts.
+struct FleetPlan
+{
+    std::string program; ///< path of the entry host's program
+    std::string folder;  ///< of settings and logs
+    int hosts = 6;
+    int dataCentres = 2;
+    int engines = 4;
+};
+
+/// The real program as a process a host, with stand-ins of the store and of backend servers behind proxies. All proxies
+/// and stand-ins live here.
+class SoakFleet
+{
+public:
+    SoakFleet(asio::io_context& context, const FleetPlan& plan, Promises& promises);
+    ~SoakFleet();
+
+    auto hosts() const -> int { return static_cast<int>(m_hosts.size()); }
+    auto dataCentres() const -> int { return m_plan.dataCentres; }
+    auto engines() const -> int { return static_cast<int>(m_engines.size()); }
+    auto store() -> StoreStandIn& { return m_store; }
+    auto engine(int number) -> EngineStandIn& { return m_engines[static_cast<std::size_t>(number)]->standIn; }
+    auto enginePath(int number) -> ConnectionProxy& { return m_engines[static_cast<std::size_t>(number)]->path; }
+    auto storePath(int host) -> ConnectionProxy& { return *m_hosts[static_cast<std::size_t>(host)]->storePath; }
+    auto peerPath(int host) -> ConnectionProxy& { return *m_hosts[static_cast<std::size_t>(host)]->peerPath; }
+
+    auto callerEndpoint(int host) const -> asio::ip::tcp::endpoint;
+    auto dataCentreOf(int host) const -> int { return host % m_plan.dataCentres; }
+
+    auto start(int host, bool isFirstStart) -> void;
+    auto kill(int host) -> void;
+    auto signal(int host, int number) -> void;
+
+    /// Asks a host to stop; it is watched by checkStopped().
+    auto askToStop(int host) -> void;
+
+    /// Whether a host that was asked to stop has ended; tells `promises` where it ended otherwise than it should.
+    auto hasStopped(int host) -> bool;
+
+    auto isRunning(int host) -> bool { return m_hosts[static_cast<std::size_t>(host)]->process.has_value(); }
+
+    /// Heartbeats from one data centre to another are dropped from now on, or no more.
+    auto cut(int from, int to, bool isCut) -> void;
+
+    auto putEngine(int number, const std::string& state) -> void;
+    auto putConfiguration(bool isSecondKeyValid) -> void;
+
+    /// Whether a host takes callers.
+    auto isReady(int host) -> asio::awaitable<bool>;
+
+private:
+    class Script final : public IEngineScript
+    {
+    public:
+        explicit Script(Promises& promises)
+            : m_promises(promises)
+        {}
+
+        auto began(const Request& request) -> void override;
+        auto events(const Request& request) const -> std::vector<std::string> override;
+        auto pause() const -> std::chrono::milliseconds override { return std::chrono::milliseconds(8); }
+        auto body(const Request& request) const -> std::string override;
+
+    private:
+        Promises& m_promises;
+    };
+
+    struct Host
+    {
+        std::optional<ChildProcess> process;
+        std::unique_ptr<ConnectionProxy> storePath;
+        std::unique_ptr<ConnectionProxy> peerPath;
+        std::unique_ptr<DatagramProxy> heartbeatPath;
+        std::optional<std::chrono::steady_clock::time_point> askedToStopAt;
+    };
+
+    struct Engine
+    {
+        Engine(asio::io_context& context, Script& script);
+
+        EngineStandIn standIn;
+        ConnectionProxy path;
+        int born = 1;
+    };
+
+    auto ip(int host) const -> std::string;
+    auto writeSettings(int host, bool isFirstStart) const -> std::string;
+
+    asio::io_context& m_context;
+    FleetPlan m_plan;
+    Promises& m_promises;
+    Script m_script;
+    StoreStandIn m_store;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::vector<std::unique_ptr<Engine>> m_engines;
+    std::set<std::pair<int, int>> m_cuts;
+    int m_configuration = 0;
+};
+
+} // namespace laburnummill::testing
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -27,9 +27,10 @@
 
 } // namespace
 
-EngineStandIn::EngineStandIn(asio::io_context& context)
+EngineStandIn::EngineStandIn(asio::io_context& context, IEngineScript* script)
     : m_context(context)
     , m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , m_script(script == nullptr ? m_plainScript : *script)
 {
     asio::co_spawn(m_context, accept(), asio::detached);
 }
@@ -51,6 +52,7 @@
 {
     auto buffer = boost::beast::flat_buffer();
     auto isOpen = true;
+    auto restsSince = std::chrono::steady_clock::now();
     while (isOpen) {
         auto request = http::request<http::string_body>();
         auto error = boost::system::error_code();
@@ -58,7 +60,12 @@
         if (error) {
             co_return;
         }
+        if (std::chrono::steady_clock::now() > restsSince + m_forgetsAfter) {
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+            co_return;
+        }
         isOpen = co_await respond(socket, request);
+        restsSince = std::chrono::steady_clock::now();
     }
 }
 
@@ -72,6 +79,7 @@
         co_return co_await write(socket, whole(id, 421, "", ""));
     }
     m_requests.push_back(request);
+    m_script.began(request);
     if (m_fault == EngineFault::Garbage) {
         co_await write(socket, "this is no answer\r\n\r\n");
         co_return false;
@@ -87,20 +95,38 @@
         co_await write(socket, whole("another", 200, "Response-Signature: other\r\n", "not yours"));
     }
     if (std::string_view(request.target()).starts_with("/turns/")) {
-        co_return co_await stream(socket, id);
+        co_return co_await stream(socket, id, m_script.events(request));
     }
-    co_return co_await write(socket, whole(id, 200, m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n", "answer"));
+    co_await pause();
+    const auto* signature = m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n";
+    co_return co_await write(socket, whole(id, 200, signature, m_script.body(request)));
 }
 
-auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const std::string& id) -> asio::awaitable<bool>
+auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const std::string& id, const std::vector<std::string>& events)
+    -> asio::awaitable<bool>
 {
     co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-                               "\r\nResponse-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                               chunk("id: 1\ndata: one\n\n"));
-    if (m_fault == EngineFault::BreakOff) {
-        co_return false;
+                               "\r\nResponse-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (auto number = std::size_t{1}; number <= events.size(); ++number) {
+        co_await pause();
+        const auto isLast = number == events.size();
+        if (isLast && m_fault == EngineFault::BreakOff) {
+            co_return false;
+        }
+        const auto event = "id: " + std::to_string(number) + "\ndata: " + events[number - 1] + "\n\n";
+        if (!co_await write(socket, chunk(event) + (isLast ? "0\r\n\r\n" : ""))) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+auto EngineStandIn::pause() -> asio::awaitable<void>
+{
+    if (m_script.pause().count() > 0) {
+        auto timer = asio::steady_timer(m_context, m_script.pause());
+        co_await timer.async_wait(asio::use_awaitable);
     }
-    co_return co_await write(socket, chunk("id: 2\ndata: two\n\n") + "0\r\n\r\n");
 }
 
 auto EngineStandIn::write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -26,15 +27,49 @@
     Hang,        ///< no answer
 };
 
+/// What a stand-in of a backend server answers, and who is told what it ran.
+class IEngineScript
+{
+public:
+    virtual ~IEngineScript() = default;
+
+    using Request = http::request<http::string_body>;
+
+    /// Told when work on a request begins.
+    virtual auto began(const Request& request) -> void { static_cast<void>(request); }
+
+    /// Data of a turn's events.
+    virtual auto events(const Request& request) const -> std::vector<std::string>
+    {
+        static_cast<void>(request);
+        return {"one", "two"};
+    }
+
+    /// Before each event, and before a plain answer.
+    virtual auto pause() const -> std::chrono::milliseconds { return std::chrono::milliseconds(0); }
+
+    /// A plain answer.
+    virtual auto body(const Request& request) const -> std::string
+    {
+        static_cast<void>(request);
+        return "answer";
+    }
+};
+
 /// A backend server by the platform's published protocol: streams events to POST below /turns/, answers the rest whole.
 class EngineStandIn
 {
 public:
-    explicit EngineStandIn(asio::io_context& context);
+    /// Without a script: two events, and "answer" to plain requests.
+    explicit EngineStandIn(asio::io_context& context, IEngineScript* script = nullptr);
 
     auto address() const -> std::string;
+    auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
     auto setFault(EngineFault fault) -> void { m_fault = fault; }
 
+    /// Connections that rest for longer are forgotten: the next request on one meets a reset.
+    auto setForgetsAfter(std::chrono::milliseconds rest) -> void { m_forgetsAfter = rest; }
+
     /// Requests that it began to work on, with bodies.
     auto requests() const -> const std::vector<http::request<http::string_body>>& { return m_requests; }
 
@@ -45,12 +80,16 @@
     auto accept() -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
-    auto stream(asio::ip::tcp::socket& socket, const std::string& id) -> asio::awaitable<bool>;
+    auto stream(asio::ip::tcp::socket& socket, const std::string& id, const std::vector<std::string>& events) -> asio::awaitable<bool>;
+    auto pause() -> asio::awaitable<void>;
     auto write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>;
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
+    IEngineScript m_plainScript;
+    IEngineScript& m_script;
     EngineFault m_fault = EngineFault::None;
+    std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
     std::vector<http::request<http::string_body>> m_requests;
     int m_leftEarly = 0;
 };
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -122,16 +122,6 @@
     return m_hosts[host]->host->isReady();
 }
 
-auto EntryFleet::requestText(const Ask& request) const -> std::string
-{
-    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nX-Api-Key: {}\r\nContent-Length: {}\r\n",
-                            request.method, request.target, request.id, request.key, request.body.size());
-    for (const auto& [name, value] : request.headers) {
-        text += name + ": " + value + "\r\n";
-    }
-    return text + "\r\n" + request.body;
-}
-
 auto EntryFleet::ask(std::size_t host, const Ask& request) -> Got
 {
     auto got = std::make_shared<std::optional<Got>>();
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -4,6 +4,7 @@
 #include "platform/rowdecoder.h"
 #include "platform/wire.h"
 #include "serving/entryhost.h"
+#include "standins/callerask.h"
 #include "standins/enginestandin.h"
 #include "standins/storestandin.h"
 
@@ -15,26 +16,6 @@
 
 namespace laburnummill::testing {
 
-/// A caller's request in short.
-struct Ask
-{
-    std::string target = "/turns/one";
-    std::string method = "POST";
-    std::string id = "r1";
-    std::string key = "good-key";
-    std::string body = "hello";
-    std::vector<std::pair<std::string, std::string>> headers;
-};
-
-/// What a caller got. Status 0: the connection ended without a whole answer.
-struct Got
-{
-    unsigned status = 0;
-    std::string body;
-    std::string retryAfter;
-    bool isWhole = false;
-};
-
 /// Entry hosts on loopback with one store and one engine, all on one executor that tests drive until conditions hold.
 class EntryFleet
 {
@@ -79,8 +60,6 @@
         std::unique_ptr<serving::EntryHost> host;
     };
 
-    auto requestText(const Ask& request) const -> std::string;
-
     asio::io_context m_context;
     StoreStandIn m_store;
     EngineStandIn m_engine;
--- a/testing/support/childprocess.cpp
+++ b/testing/support/childprocess.cpp
@@ -15,6 +15,11 @@
 constexpr auto s_logMode = 0644;
 constexpr auto s_signalOffset = 128;
 
+auto exitCode(int status) -> int
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : s_signalOffset + WTERMSIG(status);
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
@@ -55,7 +60,17 @@
 
 auto ChildProcess::isRunning() -> bool
 {
-    return m_id > 0 && waitpid(m_id, nullptr, WNOHANG) == 0;
+    return m_id > 0 && !ended();
+}
+
+auto ChildProcess::ended() -> std::optional<int>
+{
+    auto status = 0;
+    if (m_id <= 0 || waitpid(m_id, &status, WNOHANG) != m_id) {
+        return std::nullopt;
+    }
+    m_id = -1; // The number may be another process's soon.
+    return exitCode(status);
 }
 
 auto ChildProcess::send(int signal) -> void
@@ -87,7 +102,7 @@
     auto status = 0;
     waitpid(m_id, &status, 0);
     m_id = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : s_signalOffset + WTERMSIG(status);
+    return exitCode(status);
 }
 
 } // namespace laburnummill::testing
--- a/testing/support/childprocess.h
+++ b/testing/support/childprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
     auto id() const -> pid_t { return m_id; }
     auto isRunning() -> bool;
 
+    /// The exit code as of wait() where the process has ended since, once; does not wait.
+    auto ended() -> std::optional<int>;
+
     /// Sends a signal, e.g. SIGSTOP to freeze the process and SIGCONT to let it go on.
     auto send(int signal) -> void;
 
