Hosts tell each other which backend servers fail or are silent; overdue repeatable requests go elsewhere

Cause: a host learnt of a failing server from its own requests alone: with 76 hosts and 44 engines a few a second. A server that is silent showed only when requests timed out, 3 to 4 s later. Failures never faded, so that a server that was well again stayed unused. The first request to each cold server was free for each host, which 76 hosts may use in one second. Connections that a server forgot sooner than stated were met one by one. Change: requests without a first byte after six times the usual count as overdue and weigh 300 ms each in the choice, on all hosts (heartbeats carry overdue requests and failure shares); failures fade with a half-life of 2 s; a repeatable request that is overdue goes to another server; hosts of large fleets wait a random time before their first request at a cold server; a kept connection that is cut at once while its server takes new ones bounds the rest of all others for 20 s.

--- a/src/backends/backendbook.h
+++ b/src/backends/backendbook.h
@@ -4,6 +4,7 @@
 #include "framework/global/time.h"
 
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,8 +43,12 @@
     int reportedWaiting = 0;  ///< from its last answer
     framework::Instant reportedAt{};
     BackendHealth health;
+    std::multiset<framework::Instant> awaited; ///< when requests of this host become overdue of which nothing came back yet
 
     auto isCold(framework::Instant now) const -> bool { return now < coldUntil; }
+
+    /// Requests of this host that wait unusually long.
+    auto overdue(framework::Instant now) const -> int { return static_cast<int>(std::distance(awaited.begin(), awaited.upper_bound(now))); }
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/src/backends/backendhealth.cpp
+++ b/src/backends/backendhealth.cpp
@@ -1,6 +1,7 @@
 #include "backends/backendhealth.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnummill::backends {
 
@@ -21,14 +22,36 @@
 /// Broken answers in a row that look like a crash rather than like bad luck.
 constexpr auto s_brokenInARow = 3;
 
+/// Servers fail for some seconds at a time; a few trials tell whether they still do.
+constexpr auto s_failureHalfLife = Milliseconds(2'000);
+
 constexpr auto s_slownessRange = std::pair(0.2, 20.0);
 
 } // namespace
 
+auto BackendHealth::failureShare(Instant now) const -> double
+{
+    const auto halfLives = std::chrono::duration<double>(now - m_failureShareAt) / std::chrono::duration<double>(s_failureHalfLife);
+    return m_failureShare == 0 ? 0 : m_failureShare * std::exp2(-halfLives);
+}
+
+auto BackendHealth::setElsewhere(double failureShares, int overdue) -> void
+{
+    m_failureSharesElsewhere = failureShares;
+    m_overdueElsewhere = overdue;
+}
+
+auto BackendHealth::failureShareOfAll(Instant now) const -> double
+{
+    return std::min(1.0, failureShare(now) + m_failureSharesElsewhere);
+}
+
 auto BackendHealth::record(ServerOutcome outcome, double slowness, Instant now) -> void
 {
     const auto isFailure = outcome != ServerOutcome::Answered && outcome != ServerOutcome::Refused;
-    m_failureShare += s_newestWeight * ((isFailure ? 1.0 : 0.0) - m_failureShare);
+    const auto share = failureShare(now);
+    m_failureShare = share + s_newestWeight * ((isFailure ? 1.0 : 0.0) - share);
+    m_failureShareAt = now;
     if (!isFailure) {
         m_failuresInARow = 0;
         if (outcome == ServerOutcome::Answered) {
--- a/src/backends/backendhealth.h
+++ b/src/backends/backendhealth.h
@@ -24,14 +24,24 @@
     /// Whether new work should go elsewhere for now.
     auto isAvoided(framework::Instant now) const -> bool { return now < m_avoidedUntil; }
 
-    /// Share of recent requests that broke, 0 to 1.
-    auto failureShare() const -> double { return m_failureShare; }
+    /// Share of this host's recent requests that broke, 0 to 1. It fades, so that a server that is well again is used again.
+    auto failureShare(framework::Instant now) const -> double;
+
+    /// What other hosts say: the sum of their failure shares, and their requests that wait unusually long.
+    auto setElsewhere(double failureShares, int overdue) -> void;
+
+    /// Share of recent requests that broke, as far as all hosts know, 0 to 1.
+    auto failureShareOfAll(framework::Instant now) const -> double;
+    auto overdueElsewhere() const -> int { return m_overdueElsewhere; }
 
     /// Time of its work against that of others; 1 is usual.
     auto slowness() const -> double { return m_slowness; }
 
 private:
     double m_failureShare = 0;
+    framework::Instant m_failureShareAt{};
+    double m_failureSharesElsewhere = 0;
+    int m_overdueElsewhere = 0;
     double m_slowness = 1;
     int m_failuresInARow = 0;
     framework::Instant m_avoidedUntil{};
--- a/src/backends/tests/backendbooktest.cpp
+++ b/src/backends/tests/backendbooktest.cpp
@@ -1,4 +1,5 @@
 #include "backends/backendbook.h"
+#include "backends/awaitedanswer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -158,7 +159,7 @@
     for (auto time = 0; time < 10; ++time) {
         health.record(ServerOutcome::Refused, 0, now);
     }
-    DOUBLES_EQUAL(0, health.failureShare(), 1e-9);
+    DOUBLES_EQUAL(0, health.failureShare(now), 1e-9);
     CHECK_FALSE(health.isAvoided(now));
 }
 
@@ -169,3 +170,36 @@
     }
     CHECK_TRUE(health.slowness() > 4);
 }
+
+TEST(BackendHealth, failuresFadeSoThatAServerThatIsWellAgainIsUsedAgain)
+{
+    for (auto time = 0; time < 5; ++time) {
+        health.record(ServerOutcome::Broken, 0, now);
+    }
+    const auto share = health.failureShare(now);
+    CHECK_TRUE(share > 0.4);
+    DOUBLES_EQUAL(share / 2, health.failureShare(now + Milliseconds(2'000)), 1e-6);
+    CHECK_TRUE(health.failureShare(now + Milliseconds(12'000)) < 0.01);
+}
+
+TEST(BackendHealth, whatOtherHostsMeetCountsAsWell)
+{
+    health.setElsewhere(0.3, 2);
+    DOUBLES_EQUAL(0.3, health.failureShareOfAll(now), 1e-9);
+    CHECK_EQUAL(2, health.overdueElsewhere());
+    health.record(ServerOutcome::Broken, 0, now);
+    DOUBLES_EQUAL(0.4, health.failureShareOfAll(now), 1e-9);
+    health.setElsewhere(3.0, 0);
+    DOUBLES_EQUAL(1.0, health.failureShareOfAll(now), 1e-9);
+}
+
+TEST(BackendHealth, aRequestIsOverdueUntilSomethingComesBack)
+{
+    const auto backend = std::make_shared<Backend>();
+    {
+        const auto awaited = AwaitedAnswer(backend, now + Milliseconds(300));
+        CHECK_EQUAL(0, backend->overdue(now));
+        CHECK_EQUAL(1, backend->overdue(now + Milliseconds(300)));
+    }
+    CHECK_EQUAL(0, backend->overdue(now + Milliseconds(300)));
+}
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -23,6 +23,8 @@
 /// Cuts last minutes; a host that was silent for longer is taken for dead.
 constexpr auto s_unaccountedFor = std::chrono::minutes(10);
 
+constexpr auto s_permille = 1'000.0;
+
 /// What `heartbeat` tells beyond `known`, which it updates. The first count of an account is no news: a host that began
 /// lately does not know what others admitted before.
 auto admittedSince(std::map<std::string, std::uint64_t>& known, const messages::Heartbeat& heartbeat) -> std::vector<AdmittedElsewhere>
@@ -150,15 +152,18 @@
     return found;
 }
 
-auto PeerTable::runningElsewhere(Instant now) const -> std::map<std::uint32_t, int>
+auto PeerTable::backendsElsewhere(Instant now) const -> std::map<std::uint32_t, BackendElsewhere>
 {
-    auto running = std::map<std::uint32_t, int>();
+    auto found = std::map<std::uint32_t, BackendElsewhere>();
     for (const auto* peer : heard(now)) {
         for (const auto& use : peer->last.backends()) {
-            running[use.backend()] += static_cast<int>(use.running());
+            auto& backend = found[use.backend()];
+            backend.running += static_cast<int>(use.running());
+            backend.overdue += static_cast<int>(use.overdue());
+            backend.failureShares += use.failure_permille() / s_permille;
         }
     }
-    return running;
+    return found;
 }
 
 auto backendHash(std::string_view id) -> std::uint32_t
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -38,6 +38,14 @@
 };
 
 /// Who the other hosts are and which of them are heard. Holds no socket.
+/// What other hosts say of a backend server.
+struct BackendElsewhere
+{
+    int running = 0;          ///< requests under way
+    int overdue = 0;          ///< of these, without an answer for unusually long
+    double failureShares = 0; ///< sum over the hosts
+};
+
 class PeerTable
 {
 public:
@@ -81,8 +89,8 @@
     /// each other when it heals.
     auto forgottenAddresses() const -> std::vector<std::string>;
 
-    /// Requests of all heard hosts under way, by backend server (see backendHash()).
-    auto runningElsewhere(framework::Instant now) const -> std::map<std::uint32_t, int>;
+    /// What all heard hosts say of backend servers (see backendHash()).
+    auto backendsElsewhere(framework::Instant now) const -> std::map<std::uint32_t, BackendElsewhere>;
 
 private:
     static auto isHeard(const Peer& peer, framework::Instant now) -> bool;
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -130,6 +130,6 @@
         use->set_running(2);
         table.receive(made, now);
     }
-    CHECK_EQUAL(4, table.runningElsewhere(now)[backendHash("x")]);
-    CHECK_EQUAL(0U, table.runningElsewhere(now + Milliseconds(2'000)).size());
+    CHECK_EQUAL(4, table.backendsElsewhere(now)[backendHash("x")].running);
+    CHECK_EQUAL(0U, table.backendsElsewhere(now + Milliseconds(2'000)).size());
 }
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -27,9 +27,21 @@
 /// What a request loses on a server that breaks it: the time until it is sent again, or all of it.
 constexpr auto s_brokenMilliseconds = 1'500.0;
 
+/// A request that waits unusually long stands for a server that may never answer: about the wait after which it counts.
+constexpr auto s_overdueMilliseconds = 300.0;
+
+/// More overdue requests than that say nothing new.
+constexpr auto s_overdueCounted = 4;
+
 /// What the server said of its queue tells nothing after this time.
 constexpr auto s_reportLife = Milliseconds(300);
 
+/// Of what a cold server bears in a second, hosts that all hold a request back may send it at once.
+constexpr auto s_coldBurstShare = 0.5;
+
+/// After such a pause a server that turns cold again is a new case.
+constexpr auto s_coldPause = Milliseconds(2'000);
+
 /// Parts remembered for an engine; the sites' engines hold fewer.
 constexpr auto s_partsRemembered = std::size_t{1'000};
 
@@ -62,6 +74,11 @@
 auto ColdStarts::mayTake(std::uint64_t server, double perSecond, int hosts, Instant now) -> bool
 {
     auto& bucket = m_buckets[server];
+    if (now > bucket.filledAt + s_coldPause) {
+        // In a large fleet each host waits for a time of its own, or all would begin together.
+        const auto mayAllBegin = hosts <= perSecond * s_coldBurstShare;
+        bucket = {.tokens = mayAllBegin ? 1.0 : std::uniform_real_distribution()(m_random), .filledAt = now};
+    }
     const auto seconds = std::chrono::duration<double>(now - bucket.filledAt).count();
     bucket.filledAt = now;
     bucket.tokens = std::min(1.0, bucket.tokens + seconds * perSecond / std::max(hosts, 1));
@@ -120,7 +137,8 @@
     unread += server.entry.id == need.lastBackend ? 0 : need.chainTokens;
     total += slowness * unread / s_prefillTokensPerMillisecond;
     total += server.entry.dataCentre == settings.ownDataCentre ? 0 : s_otherDataCentreMilliseconds;
-    total += server.health.failureShare() * s_brokenMilliseconds;
+    total += server.health.failureShareOfAll(now) * s_brokenMilliseconds;
+    total += s_overdueMilliseconds * std::min(server.overdue(now) + server.health.overdueElsewhere(), s_overdueCounted);
     return total;
 }
 
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -3,6 +3,7 @@
 #include "backends/backendbook.h"
 
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,10 @@
 class ColdStarts
 {
 public:
+    explicit ColdStarts(std::uint64_t seed)
+        : m_random(seed)
+    {}
+
     /// `perSecond` is what the server bears from all hosts, `hosts` how many there are.
     auto mayTake(std::uint64_t server, double perSecond, int hosts, framework::Instant now) -> bool;
     auto take(std::uint64_t server) -> void;
@@ -59,10 +64,12 @@
 private:
     struct Bucket
     {
-        double tokens = 1;
+        double tokens = 0;
         framework::Instant filledAt{};
     };
 
+    std::mt19937_64 m_random;
+
     std::unordered_map<std::uint64_t, Bucket> m_buckets;
 };
 
@@ -78,6 +85,11 @@
 class BackendChoice
 {
 public:
+    /// `seed` differs between hosts.
+    explicit BackendChoice(std::uint64_t seed)
+        : m_coldStarts(seed)
+    {}
+
     auto choose(const std::vector<backends::BackendPtr>& servers, const WorkNeed& need, const ChoiceSettings& settings,
                 framework::Instant now) -> backends::BackendPtr;
 
--- a/src/scheduling/tests/backendchoicetest.cpp
+++ b/src/scheduling/tests/backendchoicetest.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
+
 #include <map>
 
 using namespace laburnummill::scheduling;
@@ -28,7 +30,7 @@
 
 TEST_GROUP(BackendChoice)
 {
-    BackendChoice choice;
+    BackendChoice choice{1};
     ChoiceSettings settings{.ownDataCentre = "a", .coldRequestsPerSecond = 0, .hosts = 1};
     WorkNeed need;
     Instant now{Milliseconds(100'000)};
@@ -116,6 +118,48 @@
     CHECK_TRUE(taken >= 29 && taken <= 31); // 12 a second over 4 hosts for 10 s.
 }
 
+TEST(BackendChoice, hostsOfALargeFleetDoNotBeginTogetherAtAColdServer)
+{
+    // Twice, as a server may turn cold again at any moment.
+    const auto cold = server(1);
+    settings.coldRequestsPerSecond = 25;
+    settings.hosts = 76;
+    auto hosts = std::deque<BackendChoice>();
+    for (auto seed = std::uint64_t{0}; seed < 76; ++seed) {
+        hosts.emplace_back(seed);
+    }
+    for (auto time = 0; time < 2; ++time) {
+        now += Milliseconds(10'000);
+        cold->coldUntil = now + Milliseconds(3'000);
+        auto sentAt = std::deque<Instant>();
+        auto most = std::size_t{0};
+        for (auto step = 0; step < 300; ++step) {
+            for (auto& host : hosts) {
+                if (host.choose({cold}, need, settings, now)) {
+                    host.started(cold, need, settings, now);
+                    sentAt.push_back(now);
+                }
+            }
+            while (!sentAt.empty() && sentAt.front() <= now - Milliseconds(1'000)) {
+                sentAt.pop_front();
+            }
+            most = std::max(most, sentAt.size());
+            now += Milliseconds(10);
+        }
+        CHECK_TRUE(most <= 25 * 1.5 + 5); // What the site allows in any second.
+    }
+}
+
+TEST(BackendChoice, aServerWithOverdueRequestsIsLeftForOthers)
+{
+    const auto servers = std::vector{server(1), server(2)};
+    servers[0]->health.setElsewhere(0, 1);
+    servers[1]->running = 3;
+    for (auto time = 0; time < 3; ++time) {
+        CHECK_EQUAL(2U, choice.choose(servers, need, settings, now)->number);
+    }
+}
+
 TEST_GROUP(Admission)
 {
     Admission admission{7};
--- a/src/serving/backendconnections.cpp
+++ b/src/serving/backendconnections.cpp
@@ -1,5 +1,6 @@
 #include "serving/backendconnections.h"
 
+#include "framework/logging/log.h"
 #include "peers/peerport.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -27,6 +28,13 @@
 /// Part of a stated timeout after which a connection is not used again; the rest covers the way there.
 constexpr auto s_usableShare = 0.8;
 
+/// Part of the rest after which a server had forgotten a connection; the true limit lies below.
+constexpr auto s_forgottenShare = 0.5;
+constexpr auto s_shortestRestLimit = Milliseconds(100);
+
+/// Servers do so for some seconds at a time.
+constexpr auto s_forgottenMemory = Milliseconds(20'000);
+
 /// Data that was sent and not acknowledged for so long means that the path is gone.
 constexpr auto s_unacknowledgedMilliseconds = 1'500;
 
@@ -55,10 +63,11 @@
         auto connection = std::move(kept.connections.back());
         kept.connections.pop_back();
         if (isStillGood(*connection)) {
+            connection->rested = std::chrono::duration_cast<Milliseconds>(m_clock.now() - connection->idleSince);
             co_return connection;
         }
     }
-    co_return co_await connect(backend->entry.address, std::move(cancellation));
+    co_return co_await connect(backend, std::move(cancellation));
 }
 
 auto BackendConnections::giveBack(const backends::BackendPtr& backend, BackendConnectionPtr connection) -> void
@@ -76,6 +85,7 @@
     for (auto entry = m_kept.begin(); entry != m_kept.end();) {
         const auto backend = entry->second.backend.lock();
         if (!backend || backend->isGone) {
+            m_resetAfter.erase(entry->first);
             entry = m_kept.erase(entry);
             continue;
         }
@@ -84,9 +94,31 @@
     }
 }
 
-auto BackendConnections::connect(const std::string& address, CancellationPtr cancellation) -> Async<BackendConnectionPtr>
+auto BackendConnections::wasReset(const backends::BackendPtr& backend, const BackendConnection& connection) -> void
+{
+    if (connection.rested > s_shortestRestLimit) {
+        m_resetAfter[backend.get()] = connection.rested;
+    }
+}
+
+auto BackendConnections::noteForgotten(const backends::BackendPtr& backend) -> void
+{
+    const auto reset = m_resetAfter.find(backend.get());
+    if (reset == m_resetAfter.end()) {
+        return;
+    }
+    const auto limit = std::max(s_shortestRestLimit, Milliseconds(static_cast<std::int64_t>(reset->second.count() * s_forgottenShare)));
+    const auto now = m_clock.now();
+    m_restLimit = now < m_restLimitUntil ? std::min(m_restLimit, limit) : limit;
+    m_restLimitUntil = now + s_forgottenMemory;
+    framework::logEvent(framework::LogLevel::Info, "serving", "connections_forgotten",
+                        {{"server", backend->entry.id}, {"restedMs", reset->second.count()}, {"limitMs", m_restLimit.count()}});
+    m_resetAfter.erase(reset);
+}
+
+auto BackendConnections::connect(const backends::BackendPtr& backend, CancellationPtr cancellation) -> Async<BackendConnectionPtr>
 {
-    const auto endpoint = peers::endpointOf(address);
+    const auto endpoint = peers::endpointOf(backend->entry.address);
     if (!endpoint) {
         co_return nullptr;
     }
@@ -113,17 +145,23 @@
     if (error || !connection->socket.is_open()) {
         co_return nullptr;
     }
+    noteForgotten(backend);
     connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
     ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &s_unacknowledgedMilliseconds,
                  sizeof(s_unacknowledgedMilliseconds));
     co_return connection;
 }
 
-auto BackendConnections::isStillGood(BackendConnection& connection) const -> bool
+auto BackendConnections::usableRest(const BackendConnection& connection) const -> Milliseconds
 {
     const auto stated = connection.idleTimeout.count() > 0 ? connection.idleTimeout : s_unstatedIdleTimeout;
     const auto usable = Milliseconds(static_cast<std::int64_t>(static_cast<double>(stated.count()) * s_usableShare));
-    return m_clock.now() < connection.idleSince + usable && isQuiet(connection.socket.native_handle());
+    return m_clock.now() < m_restLimitUntil ? std::min(usable, m_restLimit) : usable;
+}
+
+auto BackendConnections::isStillGood(BackendConnection& connection) const -> bool
+{
+    return m_clock.now() < connection.idleSince + usableRest(connection) && isQuiet(connection.socket.native_handle());
 }
 
 } // namespace laburnummill::serving
--- a/src/serving/backendconnections.h
+++ b/src/serving/backendconnections.h
@@ -25,7 +25,8 @@
     boost::beast::flat_buffer buffer;
     framework::Milliseconds idleTimeout{0}; ///< as the server states it
     framework::Instant idleSince{};
-    int requests = 0; ///< sent on it so far
+    int requests = 0;                  ///< sent on it so far
+    framework::Milliseconds rested{0}; ///< before the request that is on it now
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
@@ -42,14 +43,20 @@
     /// Keeps a connection whose answer was read whole.
     auto giveBack(const backends::BackendPtr& backend, BackendConnectionPtr connection) -> void;
 
+    /// A request on a kept connection met a reset and no answer. Where the server takes new connections it had forgotten this
+    /// one, sooner than it states: for a while none is used that rested nearly as long.
+    auto wasReset(const backends::BackendPtr& backend, const BackendConnection& connection) -> void;
+
     /// Closes connections that were idle for long, and those to servers that are gone.
     auto sweep() -> void;
 
     auto made() const -> std::uint64_t { return m_made; }
 
 private:
-    auto connect(const std::string& address, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
+    auto connect(const backends::BackendPtr& backend, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
     auto isStillGood(BackendConnection& connection) const -> bool;
+    auto usableRest(const BackendConnection& connection) const -> framework::Milliseconds;
+    auto noteForgotten(const backends::BackendPtr& backend) -> void;
 
     struct Kept
     {
@@ -60,6 +67,9 @@
     framework::asio::any_io_executor m_executor;
     const framework::IClock& m_clock;
     std::map<backends::Backend*, Kept> m_kept;
+    std::map<backends::Backend*, framework::Milliseconds> m_resetAfter; ///< rest before a reset, until the server is reached
+    framework::Milliseconds m_restLimit{0};
+    framework::Instant m_restLimitUntil{};
     std::uint64_t m_made = 0;
 };
 
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -1,5 +1,6 @@
 #include "serving/entryhost.h"
 
+#include "framework/global/digest.h"
 #include "framework/logging/boundedsink.h"
 #include "framework/logging/log.h"
 
@@ -67,6 +68,7 @@
     , m_journal(context.get_executor(), m_programs, m_store, m_link, m_clock, turnMemory(m_settings))
     , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock)
     , m_follower(context.get_executor(), outside.store, outside.feed, m_store.directWay(), m_knowledge, outside.rows, m_clock)
+    , m_choice(framework::hash64(m_settings.host, m_incarnation))
     , m_connections(context.get_executor(), m_clock)
     , m_exchange(m_connections, outside.wire, m_clock)
     , m_parts{.executor = context.get_executor(),
@@ -312,7 +314,10 @@
                            {"service", backend->entry.service},
                            {"running", backend->running},
                            {"elsewhere", backend->runningElsewhere},
-                           {"failureShare", backend->health.failureShare()},
+                           {"failureShare", backend->health.failureShare(m_clock.now())},
+                           {"failureShareOfAll", backend->health.failureShareOfAll(m_clock.now())},
+                           {"overdue", backend->overdue(m_clock.now())},
+                           {"overdueElsewhere", backend->health.overdueElsewhere()},
                            {"slowness", backend->health.slowness()},
                            {"isDraining", backend->entry.isDraining}});
     }
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -23,6 +23,9 @@
 /// Answers to other requests that may stand before the one awaited.
 constexpr auto s_strayAnswers = 3;
 
+/// Servers work for longer, and data centres are a millisecond apart.
+constexpr auto s_leastWork = Milliseconds(6);
+
 constexpr auto s_pieceBytes = std::size_t{16 * 1024};
 
 using Parser = http::response_parser<http::buffer_body>;
@@ -93,14 +96,18 @@
     target.timeLeft -= std::chrono::duration_cast<Milliseconds>(m_clock.now() - began);
     ++connection->requests;
     result.end = AttemptEnd::Lost;
+    const auto sentAt = m_clock.now();
     const auto isSent = co_await send(*connection, request, target);
     const auto isWhole = isSent && co_await receive(*connection, request, pieces, result);
+    result.isCutAtOnce = result.end == AttemptEnd::Lost && connection->buffer.size() == 0 && m_clock.now() < sentAt + s_leastWork;
     if (cancellation->cancelled() && (result.end == AttemptEnd::Lost || result.end == AttemptEnd::BrokenOff)) {
         result.end = AttemptEnd::Cancelled;
         co_return result;
     }
     if (isWhole) {
         m_connections.giveBack(backend, connection);
+    } else if (result.isCutAtOnce && connection->requests > 1) {
+        m_connections.wasReset(backend, *connection);
     }
     co_return result;
 }
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -18,9 +18,10 @@
     BrokenOff,   ///< the answer broke off after its head
     Cancelled,   ///< the caller left or the time was over, after it was sent
     CancelledUnsent,
+    Overdue, ///< given up on after it was sent, as another server may answer sooner
 };
 
-inline constexpr auto s_attemptEndNames = framework::NameTable<AttemptEnd, 8>{{
+inline constexpr auto s_attemptEndNames = framework::NameTable<AttemptEnd, 9>{{
     {AttemptEnd::Answered, "answered"},
     {AttemptEnd::NotSent, "not_sent"},
     {AttemptEnd::NotRun, "not_run"},
@@ -29,6 +30,7 @@
     {AttemptEnd::BrokenOff, "broken_off"},
     {AttemptEnd::Cancelled, "cancelled"},
     {AttemptEnd::CancelledUnsent, "cancelled_unsent"},
+    {AttemptEnd::Overdue, "overdue"},
 }};
 
 struct AttemptResult
@@ -38,6 +40,7 @@
     ReplyMarks marks;
     std::string body; ///< of answers that do not come in pieces
     framework::Milliseconds toHead{0};
+    bool isCutAtOnce = false; ///< the connection ended sooner than any work does, without an answer
 };
 
 /// Takes the pieces of an answer as they come; false breaks the attempt off.
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -48,6 +48,10 @@
 constexpr auto s_addressesTold = std::size_t{8};
 constexpr auto s_beatsPerAddresses = std::uint64_t{5};
 
+/// One failure weighs 0.1 in a host's share and counts for about 5 s.
+constexpr auto s_leastFailureTold = 0.02;
+constexpr auto s_permille = 1'000.0;
+
 /// A count is told again in case datagrams are lost.
 constexpr auto s_timesTold = 3;
 
@@ -105,7 +109,7 @@
     auto timer = asio::steady_timer(m_executor);
     while (!m_isStopped) {
         sendToAll();
-        refreshRunningElsewhere();
+        refreshBackends();
         const auto now = m_clock.now();
         noteStoreMissed();
         m_table.forget(now);
@@ -146,6 +150,23 @@
     }
 }
 
+auto FleetLink::addBackends(messages::Heartbeat& beat) const -> void
+{
+    const auto now = m_clock.now();
+    for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
+        const auto failures = backend->health.failureShare(now);
+        const auto isTold = failures >= s_leastFailureTold;
+        if (backend->running == 0 && !isTold) {
+            continue;
+        }
+        auto* use = beat.add_backends();
+        use->set_backend(peers::backendHash(id));
+        use->set_running(static_cast<std::uint32_t>(backend->running));
+        use->set_overdue(static_cast<std::uint32_t>(backend->overdue(now)));
+        use->set_failure_permille(isTold ? static_cast<std::uint32_t>(failures * s_permille) : 0);
+    }
+}
+
 auto FleetLink::makeHeartbeat() -> messages::Heartbeat
 {
     auto beat = messages::Heartbeat();
@@ -164,13 +185,7 @@
     beat.set_backend_version(m_state.knowledge.backendTable().newestRow());
     beat.set_unwritten_turns(static_cast<std::uint32_t>(m_state.journal->unwritten()));
     addCounts(beat);
-    for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
-        if (backend->running > 0) {
-            auto* use = beat.add_backends();
-            use->set_backend(peers::backendHash(id));
-            use->set_running(static_cast<std::uint32_t>(backend->running));
-        }
-    }
+    addBackends(beat);
     for (const auto& crash : m_state.quarantine.toTell(m_clock.now())) {
         auto* told = beat.add_crashes();
         told->set_fingerprint(crash.fingerprint);
@@ -185,12 +200,14 @@
     return beat;
 }
 
-auto FleetLink::refreshRunningElsewhere() -> void
+auto FleetLink::refreshBackends() -> void
 {
-    const auto running = m_table.runningElsewhere(m_clock.now());
+    const auto told = m_table.backendsElsewhere(m_clock.now());
     for (const auto& [id, backend] : m_state.knowledge.backends().all()) {
-        const auto found = running.find(peers::backendHash(id));
-        backend->runningElsewhere = found == running.end() ? 0 : found->second;
+        const auto found = told.find(peers::backendHash(id));
+        const auto elsewhere = found == told.end() ? peers::BackendElsewhere() : found->second;
+        backend->runningElsewhere = elsewhere.running;
+        backend->health.setElsewhere(elsewhere.failureShares, elsewhere.overdue);
     }
 }
 
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -81,8 +81,9 @@
     auto beatLoop() -> framework::Async<void>;
     auto makeHeartbeat() -> peers::messages::Heartbeat;
     auto addCounts(peers::messages::Heartbeat& beat) -> void;
+    auto addBackends(peers::messages::Heartbeat& beat) const -> void;
     auto sendToAll() -> void;
-    auto refreshRunningElsewhere() -> void;
+    auto refreshBackends() -> void;
     auto noteStoreMissed() -> void;
     auto catchUp(std::string address, Table table, bool isCertain) -> framework::Async<void>;
     auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
--- a/src/serving/latencybook.cpp
+++ b/src/serving/latencybook.cpp
@@ -30,4 +30,13 @@
     return milliseconds / usual.milliseconds;
 }
 
+auto LatencyBook::usual(std::string_view kind) const -> std::optional<double>
+{
+    const auto found = m_usual.find(kind);
+    if (found == m_usual.end() || found->second.samples < s_samplesNeeded) {
+        return std::nullopt;
+    }
+    return found->second.milliseconds;
+}
+
 } // namespace laburnummill::serving
--- a/src/serving/latencybook.h
+++ b/src/serving/latencybook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,9 @@
     /// `milliseconds` against the usual of `kind` (1 is usual); 0 where too little is known yet.
     auto slowness(std::string_view kind, double milliseconds) -> double;
 
+    /// The usual of `kind`, in milliseconds; nothing where too little is known yet.
+    auto usual(std::string_view kind) const -> std::optional<double>;
+
 private:
     struct Usual
     {
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "accounts/fleetlimiter.h"
+#include "backends/awaitedanswer.h"
 #include "framework/metrics/metrics.h"
 #include "programs/budgetledger.h"
 #include "programs/turnjournal.h"
@@ -54,6 +55,10 @@
     auto prepareTurn() -> framework::Async<std::optional<Refusal>>;
     auto serve() -> framework::Async<std::optional<Refusal>>;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
+    /// Under which the time until a stream's first event is kept; that between events has the route's name.
+    auto firstEventKind() const -> std::string { return m_route->name + "/first"; }
+    auto overdueAfter() const -> framework::Milliseconds;
+    auto mayGoElsewhere(const backends::BackendPtr& backend) const -> bool;
     auto judge(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
@@ -98,6 +103,8 @@
     EventScanner m_events;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
+    std::optional<backends::AwaitedAnswer> m_awaited; ///< of the attempt under way, until something comes back
+    framework::Instant m_attemptBegan{};
     int m_attempts = 0;
     framework::Json m_attemptLog = framework::Json::array();
     framework::Json m_stages = framework::Json::object(); ///< milliseconds that parts of the way took
