Heartbeats go to two hosts of each large data centre, which pass them on; counts near a limit are told within 100 ms

Change: PeerTable chooses targets: the own data centre and small ones directly, two heard hosts (and one silent in turn) of each large one, which pass it on within theirs. Heartbeats come every 5 ms x hosts (380 ms at 76), silence is judged by that interval, and where it is long an account close to its limit is told within 100 ms. A host that did not answer stays suspected for 2 s where its heartbeats come through others. Fleets of up to six hosts a data centre behave as before.

--- a/src/accounts/fleetlimiter.cpp
+++ b/src/accounts/fleetlimiter.cpp
@@ -21,6 +21,9 @@
 constexpr auto s_keptSeconds = 0.25;
 constexpr auto s_keptShare = 0.25;
 
+/// Less than what an account uses between two heartbeats of a large fleet, twice.
+constexpr auto s_tightSeconds = 0.8;
+
 /// A bucket may owe this much of its rate for what other hosts admitted at the same time.
 constexpr auto s_largestDebtSeconds = 5.0;
 
@@ -120,6 +123,16 @@
     return Milliseconds(static_cast<std::int64_t>(std::ceil(missing / rate * 1'000)));
 }
 
+auto FleetLimiter::isTight(std::string_view account, Instant now) -> bool
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end() || found->second.ratePerSecond <= 0) {
+        return false;
+    }
+    fill(found->second, now);
+    return found->second.tokens < found->second.ratePerSecond * s_tightSeconds;
+}
+
 auto FleetLimiter::fill(Bucket& bucket, Instant now) const -> void
 {
     if (now <= bucket.filledAt) {
--- a/src/accounts/fleetlimiter.h
+++ b/src/accounts/fleetlimiter.h
@@ -49,6 +49,9 @@
     /// Time until one more request would be admitted; zero where it would be now.
     auto timeToNext(std::string_view account, Stage stage, framework::Instant now) -> framework::Milliseconds;
 
+    /// Whether an account is so close to its limit that hosts must tell each other soon what they admit.
+    auto isTight(std::string_view account, framework::Instant now) -> bool;
+
     /// What this host has admitted since it started.
     auto admitted() const -> const AdmittedCounts& { return m_admitted; }
 
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -11,8 +11,21 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-/// Heartbeats come every 200 ms; five missed in a row are no accident of the network.
+/// A fifth of a second: counts over all hosts lag by no more than that part of a rate.
+constexpr auto s_shortestInterval = Milliseconds(200);
+
+/// Keeps the datagrams that a host takes below some 400 a second in large fleets.
+constexpr auto s_intervalPerHost = Milliseconds(5);
+
+/// Five heartbeats of a small fleet missed in a row, two of a large one, are no accident of the network.
 constexpr auto s_silentAfter = Milliseconds(1'000);
+constexpr auto s_intervalsMissed = 2.5;
+
+/// Up to as many hosts of another data centre are told directly: passing on would save little.
+constexpr auto s_toldDirectly = std::size_t{6};
+
+/// Of a larger one; one of them may just have died.
+constexpr auto s_relays = std::size_t{2};
 
 /// Cuts and restarts end sooner; a host unheard for longer serves nobody.
 constexpr auto s_forgottenAfter = Milliseconds(15'000);
@@ -43,6 +56,11 @@
 
 } // namespace
 
+auto heartbeatInterval(int hosts) -> Milliseconds
+{
+    return std::max(s_shortestInterval, s_intervalPerHost * hosts);
+}
+
 PeerTable::PeerTable(std::string ownAddress)
     : m_ownAddress(std::move(ownAddress))
 {}
@@ -143,11 +161,57 @@
     return found;
 }
 
-auto PeerTable::addresses() const -> std::vector<std::string>
+auto PeerTable::targets(std::string_view ownDataCentre, std::uint64_t sequence, Instant now) const -> HeartbeatTargets
+{
+    auto targets = HeartbeatTargets();
+    auto others = std::map<std::string, std::vector<const Peer*>>();
+    for (const auto& [address, peer] : m_peers) {
+        const auto& dataCentre = peer.last.data_centre();
+        if (dataCentre.empty() || dataCentre == ownDataCentre) {
+            targets.direct.push_back(address);
+        } else {
+            others[dataCentre].push_back(&peer);
+        }
+    }
+    for (auto& [dataCentre, peers] : others) {
+        addTargetsIn(std::move(peers), sequence, now, targets);
+    }
+    return targets;
+}
+
+auto PeerTable::addTargetsIn(std::vector<const Peer*> peers, std::uint64_t sequence, Instant now, HeartbeatTargets& targets) const -> void
+{
+    if (peers.size() <= s_toldDirectly) {
+        for (const auto* peer : peers) {
+            targets.direct.push_back(peer->address);
+        }
+        return;
+    }
+    const auto own = framework::hash64(m_ownAddress);
+    std::ranges::sort(peers, {}, [own](const auto* peer) { return framework::hash64(peer->address, own); });
+    auto silent = std::vector<const Peer*>();
+    auto chosen = std::size_t{0};
+    for (const auto* peer : peers) {
+        if (!isHeard(*peer, now)) {
+            silent.push_back(peer);
+        } else if (!peer->last.is_leaving() && chosen < s_relays) {
+            targets.relays.push_back(peer->address);
+            ++chosen;
+        }
+    }
+    // Silent ones take turns, so that two sides of a cut find each other when it heals.
+    if (!silent.empty()) {
+        targets.relays.push_back(silent[sequence % silent.size()]->address);
+    }
+}
+
+auto PeerTable::addressesIn(std::string_view dataCentre) const -> std::vector<std::string>
 {
     auto found = std::vector<std::string>();
     for (const auto& [address, peer] : m_peers) {
-        found.push_back(address);
+        if (peer.last.data_centre() == dataCentre) {
+            found.push_back(address);
+        }
     }
     return found;
 }
@@ -181,9 +245,11 @@
     return std::ranges::any_of(m_peers, [&](const auto& entry) { return entry.second.heardAt >= since && filter(entry.second); });
 }
 
-auto PeerTable::isHeard(const Peer& peer, Instant now) -> bool
+auto PeerTable::isHeard(const Peer& peer, Instant now) const -> bool
 {
-    return peer.heardAt != Instant{} && now < peer.heardAt + s_silentAfter;
+    const auto interval = heartbeatInterval(1 + static_cast<int>(m_peers.size()));
+    const auto missed = std::chrono::duration_cast<Milliseconds>(interval * s_intervalsMissed);
+    return peer.heardAt != Instant{} && now < peer.heardAt + std::max(s_silentAfter, missed);
 }
 
 } // namespace laburnummill::peers
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -37,7 +37,6 @@
     std::vector<AdmittedElsewhere> admitted;
 };
 
-/// Who the other hosts are and which of them are heard. Holds no socket.
 /// What other hosts say of a backend server.
 struct BackendElsewhere
 {
@@ -46,6 +45,17 @@
     double failureShares = 0; ///< sum over the hosts
 };
 
+/// Time between two heartbeats of a host in a fleet of so many: a host takes some hundred datagrams a second at most.
+auto heartbeatInterval(int hosts) -> framework::Milliseconds;
+
+/// Where one heartbeat goes.
+struct HeartbeatTargets
+{
+    std::vector<std::string> direct; ///< hosts that take it for themselves
+    std::vector<std::string> relays; ///< hosts of other data centres that pass it on within theirs
+};
+
+/// Who the other hosts are and which of them are heard. Holds no socket.
 class PeerTable
 {
 public:
@@ -76,8 +86,12 @@
 
     auto knows(std::string_view address) const -> bool { return m_peers.contains(address); }
 
-    /// Addresses to send heartbeats to.
-    auto addresses() const -> std::vector<std::string>;
+    /// Where heartbeat number `sequence` goes: to all hosts of the own data centre and of small ones, and to a few of each
+    /// large one, as bytes between data centres are dear. Relays that fall silent are replaced by others that are heard.
+    auto targets(std::string_view ownDataCentre, std::uint64_t sequence, framework::Instant now) const -> HeartbeatTargets;
+
+    /// Other hosts of a data centre.
+    auto addressesIn(std::string_view dataCentre) const -> std::vector<std::string>;
 
     /// Whether a host is silent or was forgotten lately, so that it may serve unseen behind a cut.
     auto isAnyoneUnaccounted(framework::Instant now) const -> bool;
@@ -93,7 +107,9 @@
     auto backendsElsewhere(framework::Instant now) const -> std::map<std::uint32_t, BackendElsewhere>;
 
 private:
-    static auto isHeard(const Peer& peer, framework::Instant now) -> bool;
+    auto isHeard(const Peer& peer, framework::Instant now) const -> bool;
+    auto addTargetsIn(std::vector<const Peer*> peers, std::uint64_t sequence, framework::Instant now, HeartbeatTargets& targets) const
+        -> void;
 
     std::string m_ownAddress;
     std::map<std::string, Peer, std::less<>> m_peers;
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -1,5 +1,7 @@
 #include "peers/peertable.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace laburnummill::peers;
@@ -56,11 +58,11 @@
     table.receive(beat("10.0.0.2:1", 5, 1), now);
     table.forget(now + Milliseconds(16'000));
     CHECK_EQUAL(1U, table.forgottenAddresses().size());
-    CHECK_EQUAL(0U, table.addresses().size());
+    CHECK_EQUAL(0U, table.targets("a", 1, now).direct.size());
 
     table.receive(beat("10.0.0.2:1", 5, 90), now + Milliseconds(60'000));
     CHECK_EQUAL(0U, table.forgottenAddresses().size());
-    CHECK_EQUAL(1U, table.addresses().size());
+    CHECK_EQUAL(1U, table.targets("a", 1, now).direct.size());
 }
 
 TEST(PeerTable, aForgottenHostMayServeUnseenForMinutes)
@@ -133,3 +135,60 @@
     CHECK_EQUAL(4, table.backendsElsewhere(now)[backendHash("x")].running);
     CHECK_EQUAL(0U, table.backendsElsewhere(now + Milliseconds(2'000)).size());
 }
+
+TEST_GROUP(HeartbeatsOfALargeFleet)
+{
+    PeerTable table{"10.0.0.1:1"};
+    Instant now{Milliseconds(100'000)};
+
+    auto hear(int first, int count, const char* dataCentre, Instant at)->void
+    {
+        for (auto number = first; number < first + count; ++number) {
+            auto made = beat("10.0.1." + std::to_string(number) + ":1", 5, static_cast<std::uint64_t>(at.time_since_epoch().count()));
+            made.set_data_centre(dataCentre);
+            table.receive(made, at);
+        }
+    }
+};
+
+TEST(HeartbeatsOfALargeFleet, goToAllOfTheOwnDataCentreAndToTwoOfEachOther)
+{
+    hear(0, 25, "a", now);
+    hear(30, 25, "b", now);
+    hear(60, 25, "c", now);
+    const auto targets = table.targets("a", 1, now);
+    CHECK_EQUAL(25U, targets.direct.size());
+    CHECK_EQUAL(4U, targets.relays.size());
+    CHECK_EQUAL(25U, table.addressesIn("b").size());
+}
+
+TEST(HeartbeatsOfALargeFleet, goToOtherRelaysWhereThoseFallSilentAndTryTheSilentOnesInTurn)
+{
+    hear(30, 25, "b", now);
+    const auto before = table.targets("a", 1, now).relays;
+    const auto later = now + Milliseconds(1'500);
+    for (auto number = 30; number < 55; ++number) {
+        const auto address = "10.0.1." + std::to_string(number) + ":1";
+        if (std::ranges::find(before, address) == before.end()) {
+            hear(number, 1, "b", later);
+        }
+    }
+    const auto after = table.targets("a", 0, later).relays;
+    CHECK_EQUAL(3U, after.size());
+    CHECK_TRUE(std::ranges::find(before, after[0]) == before.end());
+    CHECK_TRUE(std::ranges::find(before, after[1]) == before.end());
+    CHECK_TRUE(std::ranges::find(before, after[2]) != before.end());
+    CHECK_TRUE(table.targets("a", 1, later).relays[2] != after[2]);
+}
+
+TEST(HeartbeatsOfALargeFleet, comeLessOftenAndAreMissedLater)
+{
+    CHECK_EQUAL(200, heartbeatInterval(12).count());
+    CHECK_EQUAL(380, heartbeatInterval(76).count());
+    hear(0, 200, "a", now);
+    hear(200, 30, "b", now);
+    hear(300, 150, "c", now);
+    CHECK_EQUAL(1'905, heartbeatInterval(381).count());
+    CHECK_EQUAL(380U, table.heard(now + Milliseconds(4'000)).size());
+    CHECK_EQUAL(0U, table.heard(now + Milliseconds(5'000)).size());
+}
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -21,11 +21,13 @@
 using framework::Milliseconds;
 namespace messages = peers::messages;
 
-/// A fifth of a second: counts over all hosts lag by no more than that part of a rate.
-constexpr auto s_shortestBeat = Milliseconds(200);
+/// In large fleets, where heartbeats are rare, counts of accounts that are close to their limits are told this soon: all
+/// hosts see the same last request left and may admit it.
+constexpr auto s_tightBeat = Milliseconds(100);
 
-/// Keeps the datagrams that a host sends below about a hundred a second in large fleets.
-constexpr auto s_beatPerHost = Milliseconds(8);
+/// A host that did not answer is not asked again for so long, though others pass its heartbeats on: the path between the
+/// two may be cut.
+constexpr auto s_suspicion = Milliseconds(2'000);
 
 /// Every tenth heartbeat goes to hosts that were forgotten as well.
 constexpr auto s_beatsPerTrace = std::uint64_t{10};
@@ -107,15 +109,24 @@
 auto FleetLink::beatLoop() -> Async<void>
 {
     auto timer = asio::steady_timer(m_executor);
+    auto sentAt = framework::Instant{};
     while (!m_isStopped) {
+        const auto interval = peers::heartbeatInterval(m_table.fleetSize(m_clock.now()));
+        const auto step = interval > 2 * s_tightBeat ? s_tightBeat : interval;
+        if (m_clock.now() + step / 2 < sentAt + interval && !hasTightNews()) {
+            timer.expires_after(step);
+            co_await timer.async_wait(asio::use_awaitable);
+            continue;
+        }
+        sentAt = m_clock.now();
         sendToAll();
         refreshBackends();
         const auto now = m_clock.now();
         noteStoreMissed();
         m_table.forget(now);
-        std::erase_if(m_suspects, [this](const auto& address) { return !m_table.knows(address); });
+        std::erase_if(m_suspects, [this](const auto& suspect) { return !m_table.knows(suspect.first); });
         m_state.limiter.setHeardShare(m_table.heardShare(now), now);
-        timer.expires_after(std::max(s_shortestBeat, s_beatPerHost * m_table.fleetSize(now)));
+        timer.expires_after(step);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
@@ -123,10 +134,19 @@
 auto FleetLink::sendToAll() -> void
 {
     ++m_sequence;
-    const auto datagram = makeHeartbeat().SerializeAsString();
-    for (const auto& address : m_table.addresses()) {
+    auto heartbeat = makeHeartbeat();
+    const auto datagram = heartbeat.SerializeAsString();
+    const auto targets = m_table.targets(m_settings.dataCentre, m_sequence, m_clock.now());
+    for (const auto& address : targets.direct) {
         m_port.sendHeartbeat(address, datagram);
     }
+    if (!targets.relays.empty()) {
+        heartbeat.set_is_to_pass_on(true);
+        const auto passedOn = heartbeat.SerializeAsString();
+        for (const auto& address : targets.relays) {
+            m_port.sendHeartbeat(address, passedOn);
+        }
+    }
     if (m_sequence % s_beatsPerTrace == 0) {
         for (const auto& address : m_table.forgottenAddresses()) {
             m_port.sendHeartbeat(address, datagram);
@@ -134,6 +154,25 @@
     }
 }
 
+auto FleetLink::passOn(messages::Heartbeat heartbeat) -> void
+{
+    heartbeat.set_is_to_pass_on(false);
+    heartbeat.set_was_passed_on(true);
+    const auto datagram = heartbeat.SerializeAsString();
+    for (const auto& address : m_table.addressesIn(m_settings.dataCentre)) {
+        m_port.sendHeartbeat(address, datagram);
+    }
+}
+
+auto FleetLink::hasTightNews() const -> bool
+{
+    return std::ranges::any_of(m_state.limiter.admitted(), [this](const auto& entry) {
+        const auto told = m_told.find(entry.first);
+        const auto isNews = told == m_told.end() || told->second.admitted != entry.second;
+        return isNews && m_state.limiter.isTight(entry.first, m_clock.now());
+    });
+}
+
 auto FleetLink::addCounts(messages::Heartbeat& beat) -> void
 {
     for (const auto& [account, admitted] : m_state.limiter.admitted()) {
@@ -222,7 +261,13 @@
         framework::logEvent(framework::LogLevel::Info, "peers", "host_heard",
                             {{"host", heartbeat.host()}, {"address", heartbeat.address()}, {"dataCentre", heartbeat.data_centre()}});
     }
-    m_suspects.erase(heartbeat.address());
+    if (heartbeat.is_to_pass_on()) {
+        passOn(heartbeat);
+    }
+    const auto suspect = m_suspects.find(heartbeat.address());
+    if (suspect != m_suspects.end() && (!heartbeat.was_passed_on() || now > suspect->second + s_suspicion)) {
+        m_suspects.erase(suspect);
+    }
     for (const auto& address : heartbeat.known_addresses()) {
         m_table.learn(address, now);
     }
@@ -396,7 +441,7 @@
     auto response = co_await m_port.call(address, std::move(request), timeout);
     if (!response) {
         m_metrics.count("peer_calls_failed");
-        m_suspects.insert(address); // Nobody waits for it again until it is heard.
+        m_suspects[address] = m_clock.now(); // Nobody waits for it again until it is heard.
     }
     co_return response;
 }
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -83,6 +83,10 @@
     auto addCounts(peers::messages::Heartbeat& beat) -> void;
     auto addBackends(peers::messages::Heartbeat& beat) const -> void;
     auto sendToAll() -> void;
+    auto passOn(peers::messages::Heartbeat heartbeat) -> void;
+
+    /// Whether requests were admitted of an account that is close to its limit, and not told yet.
+    auto hasTightNews() const -> bool;
     auto refreshBackends() -> void;
     auto noteStoreMissed() -> void;
     auto catchUp(std::string address, Table table, bool isCertain) -> framework::Async<void>;
@@ -107,7 +111,7 @@
 
     std::map<std::string, ToldCount, std::less<>> m_told;
     std::uint64_t m_sequence = 0;
-    std::set<std::string, std::less<>> m_suspects; ///< did not answer a call, and were not heard since
+    std::map<std::string, framework::Instant, std::less<>> m_suspects; ///< did not answer a call then, and were not heard since
     framework::Instant m_storeMissedAt{};
     bool m_isReady = false;
     bool m_isLeaving = false;
