--- a/src/backends/backendbook.h
+++ b/src/backends/backendbook.h
@@ -38,9 +38,10 @@
     std::uint64_t number = 0; ///< of this start, never used again in the process
     bool isGone = false;
     framework::Instant coldUntil{};
-    int running = 0;          ///< requests of this host under way
-    int runningElsewhere = 0; ///< requests of other hosts, as they said last
-    int reportedWaiting = 0;  ///< from its last answer
+    int running = 0;            ///< requests of this host under way
+    int runningElsewhere = 0;   ///< requests of other hosts, as they said last
+    int restingConnections = 0; ///< of this host, ready for a request
+    int reportedWaiting = 0;    ///< from its last answer
     framework::Instant reportedAt{};
     BackendHealth health;
     std::multiset<framework::Instant> awaited; ///< when requests of this host become overdue of which nothing came back yet
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -24,6 +24,9 @@
 /// Other data centres are a millisecond away, and bytes to them are dear.
 constexpr auto s_otherDataCentreMilliseconds = 12.0;
 
+/// A new connection takes a millisecond or two and holds a slot meanwhile; servers also charge for each.
+constexpr auto s_newConnectionMilliseconds = 10.0;
+
 /// What a request loses on a server that breaks it: the time until it is sent again, or all of it.
 constexpr auto s_brokenMilliseconds = 1'500.0;
 
@@ -134,9 +137,13 @@
     const auto slowness = std::max(server.health.slowness(), 0.5);
     auto total = slowness * (s_slotMilliseconds + s_slotMilliseconds * waiting / slots + s_runningMilliseconds * std::min(underWay, slots));
     auto unread = m_memory.missing(server.number, need.prompt);
-    unread += server.entry.id == need.lastBackend ? 0 : need.chainTokens;
+    if (!need.lastBackend.empty() && server.entry.id == need.lastBackend) {
+        // It read all but the newest part, whichever host sent it that.
+        unread = std::min(unread, need.prompt.empty() ? 0 : need.prompt.back().tokens);
+    }
     total += slowness * unread / s_prefillTokensPerMillisecond;
     total += server.entry.dataCentre == settings.ownDataCentre ? 0 : s_otherDataCentreMilliseconds;
+    total += server.restingConnections > 0 ? 0 : s_newConnectionMilliseconds;
     total += server.health.failureShareOfAll(now) * s_brokenMilliseconds;
     total += s_overdueMilliseconds * std::min(server.overdue(now) + server.health.overdueElsewhere(), s_overdueCounted);
     return total;
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -23,7 +23,6 @@
 {
     std::vector<PromptNeed> prompt; ///< empty for plain services
     std::string lastBackend;        ///< engine that ran the turn before; empty where there is none
-    int chainTokens = 0;            ///< of the prompt that only that engine holds
     std::set<std::uint64_t> tried;  ///< numbers of servers that are not to be tried again
 };
 
--- a/src/scheduling/tests/backendchoicetest.cpp
+++ b/src/scheduling/tests/backendchoicetest.cpp
@@ -47,6 +47,29 @@
     CHECK_EQUAL(10, times[2]);
 }
 
+TEST(BackendChoice, theEngineOfTheTurnBeforeIsPreferredAlsoWhereAnotherHostSentIt)
+{
+    const auto servers = std::vector{server(1), server(2), server(3)};
+    need.prompt = {{.part = "shared", .tokens = 500}, {.part = "first turn", .tokens = 2'000}, {.part = "this turn", .tokens = 300}};
+    need.lastBackend = servers[1]->entry.id;
+    for (auto time = 0; time < 6; ++time) {
+        CHECK_EQUAL(2U, choice.choose(servers, need, settings, now)->number);
+    }
+    servers[1]->running = 40;
+    CHECK_TRUE(choice.choose(servers, need, settings, now)->number != 2);
+}
+
+TEST(BackendChoice, aServerWithARestingConnectionIsPreferredUntilItIsBusier)
+{
+    const auto servers = std::vector{server(1), server(2), server(3)};
+    servers[1]->restingConnections = 1;
+    for (auto time = 0; time < 6; ++time) {
+        CHECK_EQUAL(2U, choice.choose(servers, need, settings, now)->number);
+    }
+    servers[1]->running = 8;
+    CHECK_TRUE(choice.choose(servers, need, settings, now)->number != 2);
+}
+
 TEST(BackendChoice, aFullServerIsLeftForOneWithAPlaceAlsoInAnotherDataCentre)
 {
     const auto full = server(1);
--- a/src/serving/backendconnections.cpp
+++ b/src/serving/backendconnections.cpp
@@ -62,6 +62,7 @@
     while (!kept.connections.empty()) {
         auto connection = std::move(kept.connections.back());
         kept.connections.pop_back();
+        backend->restingConnections = static_cast<int>(kept.connections.size());
         if (isStillGood(*connection)) {
             connection->rested = std::chrono::duration_cast<Milliseconds>(m_clock.now() - connection->idleSince);
             co_return connection;
@@ -78,6 +79,7 @@
     }
     connection->idleSince = m_clock.now();
     kept->second.connections.push_back(std::move(connection));
+    backend->restingConnections = static_cast<int>(kept->second.connections.size());
 }
 
 auto BackendConnections::sweep() -> void
@@ -90,6 +92,7 @@
             continue;
         }
         std::erase_if(entry->second.connections, [this](const auto& connection) { return !isStillGood(*connection); });
+        backend->restingConnections = static_cast<int>(entry->second.connections.size());
         ++entry;
     }
 }
--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -218,7 +218,9 @@
     auto fields = http::fields();
     m_side.wire.markOwnAnswer(fields, m_requestId, retryAfter);
     const auto status = statusOf(refusal);
-    m_keepsOpen = m_keepsOpen && refusal != Refusal::Isolated; // The balancer then chooses a host of another data centre.
+    // The balancer then chooses a host of another data centre, which the store or other hosts may tell more.
+    const auto knowsTooLittle = refusal == Refusal::TurnUnknown || refusal == Refusal::BudgetUnknown;
+    m_keepsOpen = m_keepsOpen && refusal != Refusal::Isolated && !(knowsTooLittle && m_side.parts.isIsolated());
     auto text = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string(http::obsolete_reason(static_cast<http::status>(status))));
     for (const auto& field : fields) {
         text += std::string(field.name_string()) + ": " + std::string(field.value()) + "\r\n";
