--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -24,7 +24,7 @@
 /// Up to as many hosts of another data centre are told directly: passing on would save little.
 constexpr auto s_toldDirectly = std::size_t{6};
 
-/// Of a larger one; one of them may just have died.
+/// Of a larger one. They take turns, so that where one has just died every second heartbeat comes through.
 constexpr auto s_relays = std::size_t{2};
 
 /// Cuts and restarts end sooner; a host unheard for longer serves nobody.
@@ -38,13 +38,14 @@
 
 constexpr auto s_permille = 1'000.0;
 
-/// What `heartbeat` tells beyond `known`, which it updates. The first count of an account is no news: a host that began
-/// lately does not know what others admitted before.
+/// What `heartbeat` tells beyond `known`, which it updates. Of the first count of an account only the newest part is news:
+/// what was admitted before was told to others, or this host began later.
 auto admittedSince(std::map<std::string, std::uint64_t>& known, const messages::Heartbeat& heartbeat) -> std::vector<AdmittedElsewhere>
 {
     auto news = std::vector<AdmittedElsewhere>();
     for (const auto& use : heartbeat.accounts()) {
-        const auto [count, isNew] = known.try_emplace(use.account(), use.admitted());
+        const auto before = use.admitted() - std::min(use.newly(), use.admitted());
+        const auto [count, isNew] = known.try_emplace(use.account(), before);
         const auto difference = static_cast<std::int64_t>(use.admitted()) - static_cast<std::int64_t>(count->second);
         count->second = use.admitted();
         if (difference != 0) {
@@ -190,15 +191,17 @@
     const auto own = framework::hash64(m_ownAddress);
     std::ranges::sort(peers, {}, [own](const auto* peer) { return framework::hash64(peer->address, own); });
     auto silent = std::vector<const Peer*>();
-    auto chosen = std::size_t{0};
+    auto chosen = std::vector<const Peer*>();
     for (const auto* peer : peers) {
         if (!isHeard(*peer, now)) {
             silent.push_back(peer);
-        } else if (!peer->last.is_leaving() && chosen < s_relays) {
-            targets.relays.push_back(peer->address);
-            ++chosen;
+        } else if (!peer->last.is_leaving() && chosen.size() < s_relays) {
+            chosen.push_back(peer);
         }
     }
+    if (!chosen.empty()) {
+        targets.relays.push_back(chosen[sequence % chosen.size()]->address);
+    }
     // Silent ones take turns, so that two sides of a cut find each other when it heals.
     if (!silent.empty()) {
         targets.relays.push_back(silent[sequence % silent.size()]->address);
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -87,7 +87,7 @@
     auto knows(std::string_view address) const -> bool { return m_peers.contains(address); }
 
     /// Where heartbeat number `sequence` goes: to all hosts of the own data centre and of small ones, and to a few of each
-    /// large one, as bytes between data centres are dear. Relays that fall silent are replaced by others that are heard.
+    /// large one in turn, as bytes between data centres are dear. Relays that fall silent are replaced by others that are heard.
     auto targets(std::string_view ownDataCentre, std::uint64_t sequence, framework::Instant now) const -> HeartbeatTargets;
 
     /// Other hosts of a data centre.
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -178,13 +178,14 @@
     for (const auto& [account, admitted] : m_state.limiter.admitted()) {
         auto& told = m_told[account];
         if (told.admitted != admitted) {
-            told = {.admitted = admitted, .beatsLeft = s_timesTold};
+            told = {.admitted = admitted, .before = told.admitted, .beatsLeft = s_timesTold};
         }
         if (told.beatsLeft > 0) {
             --told.beatsLeft;
             auto* use = beat.add_accounts();
             use->set_account(account);
             use->set_admitted(admitted);
+            use->set_newly(admitted - std::min(admitted, told.before));
         }
     }
 }
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -106,6 +106,7 @@
     struct ToldCount
     {
         std::uint64_t admitted = 0;
+        std::uint64_t before = 0; ///< as it was told before that
         int beatsLeft = 0;
     };
 
