--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -93,6 +93,14 @@
     m_buckets[server].tokens -= 1;
 }
 
+auto isAnyPrompt(const std::vector<BackendPtr>& servers, const WorkNeed& need, Instant now) -> bool
+{
+    return std::ranges::any_of(servers, [&](const BackendPtr& server) {
+        const auto overdue = server->overdue(now) + server->health.overdueElsewhere();
+        return overdue == 0 && !server->health.isAvoided(now) && !need.tried.contains(server->number);
+    });
+}
+
 auto BackendChoice::choose(const std::vector<BackendPtr>& servers, const WorkNeed& need, const ChoiceSettings& settings, Instant now)
     -> BackendPtr
 {
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -80,6 +80,10 @@
     int hosts = 1;
 };
 
+/// Whether a server that was not tried yet is neither avoided nor late with any request, as far as hosts know: load that a
+/// request which is sent again adds is borne there.
+auto isAnyPrompt(const std::vector<backends::BackendPtr>& servers, const WorkNeed& need, framework::Instant now) -> bool;
+
 /// Chooses the server where a request is expected to end first. Holds no socket.
 class BackendChoice
 {
--- a/src/scheduling/tests/backendchoicetest.cpp
+++ b/src/scheduling/tests/backendchoicetest.cpp
@@ -183,6 +183,19 @@
     }
 }
 
+TEST(BackendChoice, noRequestIsSentAgainWhereAllServersAreLate)
+{
+    const auto servers = std::vector{server(1), server(2), server(3)};
+    need.tried.insert(1);
+    CHECK_TRUE(isAnyPrompt(servers, need, now));
+    servers[1]->health.setElsewhere(0, 1);
+    CHECK_TRUE(isAnyPrompt(servers, need, now));
+    servers[2]->awaited.insert(now - Milliseconds(1));
+    CHECK_FALSE(isAnyPrompt(servers, need, now));
+    servers[0]->health.setElsewhere(0, 0);
+    CHECK_FALSE(isAnyPrompt(servers, need, now)); // It was tried.
+}
+
 TEST_GROUP(Admission)
 {
     Admission admission{7};
--- a/src/serving/requestrun.h
+++ b/src/serving/requestrun.h
@@ -58,7 +58,7 @@
     /// Under which the time until a stream's first event is kept; that between events has the route's name.
     auto firstEventKind() const -> std::string { return m_route->name + "/first"; }
     auto overdueAfter() const -> framework::Milliseconds;
-    auto mayGoElsewhere(const backends::BackendPtr& backend) const -> bool;
+    auto mayGoElsewhere() const -> bool;
     auto judge(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
