--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -41,10 +41,12 @@
     /// have been lent that no row shows yet.
     virtual auto wasStoreMissedLately() const -> bool = 0;
 
-    /// Whether the host at `address` is heard and has written all of its turns.
-    virtual auto hasWrittenAll(std::string_view address) const -> bool = 0;
+    /// Whether that incarnation of the host at `address` is heard and has written all of its turns. A later one knows nothing
+    /// of them.
+    virtual auto hasWrittenAll(std::string_view address, std::uint64_t incarnation) const -> bool = 0;
 
     virtual auto ownAddress() const -> std::string = 0;
+    virtual auto ownIncarnation() const -> std::uint64_t = 0;
 
     virtual auto call(std::string address, messages::Request request, framework::Milliseconds timeout)
         -> framework::AsyncResult<messages::Response> = 0;
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -146,6 +146,13 @@
     return heardShare(now) < 1 || std::ranges::any_of(m_forgotten, isLate);
 }
 
+auto PeerTable::hasWrittenAll(std::string_view address, std::uint64_t incarnation, Instant now) const -> bool
+{
+    const auto found = m_peers.find(address);
+    return found != m_peers.end() && isHeard(found->second, now) && found->second.last.incarnation() == incarnation &&
+           found->second.last.unwritten_turns() == 0;
+}
+
 auto PeerTable::restartedSince(std::uint64_t since, Instant now) const -> int
 {
     const auto peers = heard(now);
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -96,6 +96,9 @@
     /// Whether a host is silent or was forgotten lately, so that it may serve unseen behind a cut.
     auto isAnyoneUnaccounted(framework::Instant now) const -> bool;
 
+    /// Whether that incarnation of a host is heard and holds no turns that the store lacks. A later one has lost them.
+    auto hasWrittenAll(std::string_view address, std::uint64_t incarnation, framework::Instant now) const -> bool;
+
     /// Heard hosts that began after `since` (Unix milliseconds) and have lost what an earlier start of them held.
     auto restartedSince(std::uint64_t since, framework::Instant now) const -> int;
 
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -132,6 +132,20 @@
     CHECK_EQUAL(2, table.receive(withUse(beat("10.0.0.2:1", 5, 3), 502), now).admitted.front().requests);
 }
 
+TEST(PeerTable, aHostThatStartedAnewHasNotWrittenWhatItHeldBefore)
+{
+    auto made = beat("10.0.0.2:1", 5, 1);
+    made.set_unwritten_turns(1);
+    table.receive(made, now);
+    CHECK_FALSE(table.hasWrittenAll("10.0.0.2:1", 5, now));
+    table.receive(beat("10.0.0.2:1", 5, 2), now);
+    CHECK_TRUE(table.hasWrittenAll("10.0.0.2:1", 5, now));
+    CHECK_FALSE(table.hasWrittenAll("10.0.0.2:1", 5, now + Milliseconds(2'000)));
+    table.receive(beat("10.0.0.2:1", 6, 1), now);
+    CHECK_FALSE(table.hasWrittenAll("10.0.0.2:1", 5, now));
+    CHECK_TRUE(table.hasWrittenAll("10.0.0.2:1", 6, now));
+}
+
 TEST(PeerTable, addsUpWhatHostsThatAreHeardHaveUnderWay)
 {
     for (const auto* address : {"10.0.0.2:1", "10.0.0.3:1"}) {
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -113,6 +113,7 @@
     auto request = peers::messages::Request();
     request.mutable_kept_turns()->add_records(writing->record);
     request.mutable_kept_turns()->set_origin(m_peers.ownAddress());
+    request.mutable_kept_turns()->set_origin_incarnation(m_peers.ownIncarnation());
     const auto response = co_await m_peers.call(std::move(address), std::move(request), s_keepTimeout);
     --writing->keepsOpen;
     writing->keeps += response ? 1 : 0;
@@ -241,7 +242,7 @@
     }
 }
 
-auto TurnJournal::keepFor(const std::string& origin, const std::vector<std::string>& records) -> void
+auto TurnJournal::keepFor(const std::string& origin, std::uint64_t originIncarnation, const std::vector<std::string>& records) -> void
 {
     for (const auto& record : records) {
         const auto turn = decodeTurn(record);
@@ -250,6 +251,7 @@
             continue;
         }
         m_heldForOthers[turn->id] = Held{.origin = origin,
+                                         .originIncarnation = originIncarnation,
                                          .record = record,
                                          .partition = partitionOf(*turn),
                                          .program = {.account = turn->account, .program = turn->program},
@@ -280,7 +282,7 @@
         if (held == m_heldForOthers.end()) {
             continue;
         }
-        if (m_peers.hasWrittenAll(held->second.origin)) {
+        if (m_peers.hasWrittenAll(held->second.origin, held->second.originIncarnation)) {
             m_heldForOthers.erase(held);
             continue;
         }
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -63,7 +63,7 @@
     auto remember(const std::string& record) -> void;
 
     /// Holds turns for another host until it has written them.
-    auto keepFor(const std::string& origin, const std::vector<std::string>& records) -> void;
+    auto keepFor(const std::string& origin, std::uint64_t originIncarnation, const std::vector<std::string>& records) -> void;
 
     /// Tokens of a program's turns that are held for other hosts.
     auto heldTokens(const ProgramKey& program) const -> std::uint64_t;
@@ -104,6 +104,7 @@
     struct Held
     {
         std::string origin;
+        std::uint64_t originIncarnation = 0;
         std::string record;
         std::uint32_t partition = 0;
         ProgramKey program;
--- a/src/serving/fleetanswers.cpp
+++ b/src/serving/fleetanswers.cpp
@@ -40,7 +40,7 @@
     }
     case messages::Request::kKeptTurns: {
         const auto& kept = request.kept_turns();
-        m_state.journal->keepFor(kept.origin(), {kept.records().begin(), kept.records().end()});
+        m_state.journal->keepFor(kept.origin(), kept.origin_incarnation(), {kept.records().begin(), kept.records().end()});
         break;
     }
     case messages::Request::kGrantQuery:
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -430,10 +430,9 @@
     }
 }
 
-auto FleetLink::hasWrittenAll(std::string_view address) const -> bool
+auto FleetLink::hasWrittenAll(std::string_view address, std::uint64_t incarnation) const -> bool
 {
-    return std::ranges::any_of(m_table.heard(m_clock.now()),
-                               [address](const auto* peer) { return peer->address == address && peer->last.unwritten_turns() == 0; });
+    return m_table.hasWrittenAll(address, incarnation, m_clock.now());
 }
 
 auto FleetLink::call(std::string address, messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -60,8 +60,9 @@
     auto isAnyoneSilent() const -> bool override;
     auto mayHoldUnknownTurns() const -> bool override;
     auto wasStoreMissedLately() const -> bool override;
-    auto hasWrittenAll(std::string_view address) const -> bool override;
+    auto hasWrittenAll(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
+    auto ownIncarnation() const -> std::uint64_t override { return m_incarnation; }
     auto call(std::string address, peers::messages::Request request, framework::Milliseconds timeout)
         -> framework::AsyncResult<peers::messages::Response> override;
 
