--- a/testing/faultsoak/soakfleet.cpp
+++ b/testing/faultsoak/soakfleet.cpp
@@ -139,7 +139,7 @@
                                {"bounds", {{"grace_s", s_graceSeconds}}},
                                {"bootstrap", isFirstStart},
                                {"seeds", seeds}};
-    const auto path = fmt::format("{}/host-{}.json", m_plan.folder, host);
+    auto path = fmt::format("{}/host-{}.json", m_plan.folder, host);
     std::ofstream(path) << settings.dump(1);
     return path;
 }
