--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -36,8 +36,6 @@
 /// Cuts last minutes; a host that was silent for longer is taken for dead.
 constexpr auto s_unaccountedFor = std::chrono::minutes(10);
 
-constexpr auto s_permille = 1'000.0;
-
 /// What `heartbeat` tells beyond `known`, which it updates. Of the first count of an account only the newest part is news:
 /// what was admitted before was told to others, or this host began later.
 auto admittedSince(std::map<std::string, std::uint64_t>& known, const messages::Heartbeat& heartbeat) -> std::vector<AdmittedElsewhere>
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -37,6 +37,9 @@
     std::vector<AdmittedElsewhere> admitted;
 };
 
+/// Heartbeats tell shares in thousandths.
+inline constexpr auto s_permille = 1'000.0;
+
 /// What other hosts say of a backend server.
 struct BackendElsewhere
 {
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -52,7 +52,6 @@
 
 /// One failure weighs 0.1 in a host's share and counts for about 5 s.
 constexpr auto s_leastFailureTold = 0.02;
-constexpr auto s_permille = 1'000.0;
 
 /// A count is told again in case datagrams are lost.
 constexpr auto s_timesTold = 3;
@@ -203,7 +202,7 @@
         use->set_backend(peers::backendHash(id));
         use->set_running(static_cast<std::uint32_t>(backend->running));
         use->set_overdue(static_cast<std::uint32_t>(backend->overdue(now)));
-        use->set_failure_permille(isTold ? static_cast<std::uint32_t>(failures * s_permille) : 0);
+        use->set_failure_permille(isTold ? static_cast<std::uint32_t>(failures * peers::s_permille) : 0);
     }
 }
 
