--- a/testing/measure/history/historyload.cpp
+++ b/testing/measure/history/historyload.cpp
@@ -60,7 +60,7 @@
 
 auto HistoryLoad::later(Micros delay, std::function<void()> act) -> void
 {
-    m_queue.push({m_now + delay, m_events++, std::move(act)});
+    m_queue.push(m_now + delay, std::move(act));
 }
 
 auto HistoryLoad::writeDelay() -> Micros
@@ -161,10 +161,9 @@
     }
     arrive();
     while (m_now < m_options.seconds * s_second + s_settle) {
-        auto event = m_queue.top();
-        m_queue.pop();
+        const auto event = m_queue.pop();
         m_now = event.at;
-        event.act();
+        event.run();
     }
     const auto measured = static_cast<double>(m_options.seconds) - static_cast<double>(s_warmUp) / static_cast<double>(s_second);
     const auto turns = static_cast<double>(m_samples.size());
--- a/testing/measure/history/historyload.h
+++ b/testing/measure/history/historyload.h
@@ -3,8 +3,8 @@
 #include "framework/metrics/metrics.h"
 #include "platform/internal/embeddedplatform.h"
 #include "programs/internal/programowner.h"
+#include "testing/simulation/eventqueue.h"
 
-#include <queue>
 #include <random>
 
 namespace laburnummill::testing {
@@ -31,15 +31,6 @@
 
 private:
     using Micros = std::int64_t;
-    struct Event
-    {
-        Micros at = 0;
-        std::uint64_t number = 0;
-        std::function<void()> act;
-
-        auto operator>(const Event& other) const -> bool { return std::tie(at, number) > std::tie(other.at, other.number); }
-    };
-
     auto moment() const -> programs::Moment;
     auto later(Micros delay, std::function<void()> act) -> void;
 
@@ -55,7 +46,7 @@
     std::mt19937_64 m_random;
     platform::EmbeddedPlatform m_tables;
     std::vector<std::unique_ptr<programs::ProgramOwner>> m_owners;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_queue;
+    EventQueue<Micros> m_queue;
     std::map<std::string, std::uint32_t> m_answered;
     std::map<std::string, bool> m_waiting;
     std::map<programs::Ticket, std::string> m_tickets;
@@ -63,7 +54,6 @@
     framework::LatencyHistogram m_commits;
     std::vector<double> m_samples;
     programs::Ticket m_nextTicket = 1;
-    std::uint64_t m_events = 0;
     std::uint64_t m_writes = 0;
     std::uint64_t m_refused = 0;
     Micros m_now = 0;
--- a/testing/measure/policy/policyrun.cpp
+++ b/testing/measure/policy/policyrun.cpp
@@ -71,7 +71,7 @@
 
 auto PolicyRun::after(Microseconds delay, std::function<void()> run) -> void
 {
-    m_events.push({m_now + delay, m_nextEvent++, std::move(run)});
+    m_events.push(m_now + delay, std::move(run));
 }
 
 auto PolicyRun::configure() -> void
@@ -262,8 +262,7 @@
     after(s_warmUp + Milliseconds(static_cast<std::int64_t>(s_leavesAt * static_cast<double>(length.count()))), [this] { leave(); });
     after(s_warmUp + Milliseconds(static_cast<std::int64_t>(s_returnsAt * static_cast<double>(length.count()))), [this] { comeBack(); });
     while (m_unfinished > 0 && m_now - m_start < s_lastEnd) {
-        auto event = m_events.top();
-        m_events.pop();
+        const auto event = m_events.pop();
         m_now = event.at;
         event.run();
         handOut();
--- a/testing/measure/policy/policyrun.h
+++ b/testing/measure/policy/policyrun.h
@@ -2,9 +2,9 @@
 
 #include "scheduling/internal/dispatcher.h"
 #include "testing/measure/policy/workload.h"
+#include "testing/simulation/eventqueue.h"
 
 #include <functional>
-#include <queue>
 #include <random>
 
 namespace laburnummill::testing {
@@ -45,15 +45,6 @@
         std::size_t joins = 0;      ///< what the next turn waits for
         framework::Instant ended;
     };
-    struct Event
-    {
-        framework::Instant at;
-        std::uint64_t number;
-        std::function<void()> run;
-
-        auto operator>(const Event& other) const -> bool { return std::tie(at, number) > std::tie(other.at, other.number); }
-    };
-
     auto after(framework::Microseconds delay, std::function<void()> run) -> void;
     auto startProgram(const ProgramPlan& plan) -> void;
     auto submit(Thread& thread) -> void;
@@ -79,8 +70,7 @@
     std::mt19937_64 m_random;
     framework::Instant m_start{framework::Seconds(1'000)};
     framework::Instant m_now{framework::Seconds(1'000)};
-    std::uint64_t m_nextEvent = 1;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    EventQueue<framework::Instant> m_events;
     std::vector<EngineModel> m_engines;
     std::vector<bool> m_leaving;
     std::vector<bool> m_stepping;
--- a/testing/simulation/virtualfleet.cpp
+++ b/testing/simulation/virtualfleet.cpp
@@ -56,7 +56,7 @@
 
 auto VirtualFleet::at(Microseconds delay, std::function<void()> run) -> void
 {
-    m_queue.push({m_now + delay, m_nextOrder++, std::move(run)});
+    m_queue.push(m_now + delay, std::move(run));
 }
 
 auto VirtualFleet::atHost(std::size_t host, Microseconds delay, std::function<Actions(Participant&, Instant)> run) -> void
@@ -256,8 +256,7 @@
 
 auto VirtualFleet::step() -> void
 {
-    const auto event = m_queue.top();
-    m_queue.pop();
+    const auto event = m_queue.pop();
     m_now = event.at;
     event.run();
     if (m_now >= m_nextCheck) {
@@ -269,7 +268,7 @@
 auto VirtualFleet::runFor(Milliseconds time) -> void
 {
     const auto end = m_now + time;
-    while (!m_queue.empty() && m_queue.top().at <= end) {
+    while (!m_queue.isEmpty() && m_queue.nextAt() <= end) {
         step();
     }
 }
--- a/testing/simulation/virtualfleet.h
+++ b/testing/simulation/virtualfleet.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "coordination/internal/participant.h"
+#include "testing/simulation/eventqueue.h"
 #include "testing/simulation/virtualstore.h"
 
 #include <deque>
 #include <functional>
 #include <memory>
-#include <queue>
 
 namespace laburnummill::testing {
 
@@ -83,15 +83,6 @@
         std::vector<std::function<void()>> held; ///< events that came during the pause
         std::uint64_t pastViolations = 0;
     };
-    struct Event
-    {
-        framework::Instant at;
-        std::uint64_t order = 0;
-        std::function<void()> run;
-
-        auto operator<(const Event& other) const -> bool { return std::tie(other.at, other.order) < std::tie(at, order); }
-    };
-
     auto localTime(const Host& host) const -> framework::Instant;
     auto at(framework::Microseconds delay, std::function<void()> run) -> void;
     auto atHost(std::size_t host, framework::Microseconds delay,
@@ -108,8 +99,7 @@
     coordination::ProtocolRules m_rules;
     std::mt19937_64 m_random;
     framework::Instant m_now;
-    std::uint64_t m_nextOrder = 0;
-    std::priority_queue<Event> m_queue;
+    EventQueue<framework::Instant> m_queue;
     std::vector<Host> m_hosts;
     VirtualStore m_store;
     VirtualFaults m_faults;
--- a/testing/soak/programs/programsoak.cpp
+++ b/testing/soak/programs/programsoak.cpp
@@ -62,7 +62,14 @@
 
 auto ProgramSoak::later(std::int64_t delayMs, std::function<void()> act) -> void
 {
-    m_queue.push({m_nowMs + delayMs, m_events++, std::move(act)});
+    m_queue.push(m_nowMs + delayMs, std::move(act));
+}
+
+auto ProgramSoak::runEvent() -> void
+{
+    const auto event = m_queue.pop();
+    m_nowMs = std::max(m_nowMs, event.at);
+    event.run();
 }
 
 auto ProgramSoak::note(std::string event) -> void
@@ -90,10 +97,7 @@
     reconcileEngine();
     while (m_step < m_options.steps && m_outcome.violations.empty()) {
         ++m_step;
-        auto event = m_queue.top();
-        m_queue.pop();
-        m_nowMs = std::max(m_nowMs, event.atMs);
-        event.act();
+        runEvent();
     }
     if (m_outcome.violations.empty()) {
         finish();
--- a/testing/soak/programs/programsoak.h
+++ b/testing/soak/programs/programsoak.h
@@ -2,11 +2,11 @@
 
 #include "programs/internal/heldrecords.h"
 #include "programs/internal/programowner.h"
+#include "testing/simulation/eventqueue.h"
 #include "testing/soak/programs/soakcallers.h"
 #include "testing/soak/programs/soakstore.h"
 
 #include <deque>
-#include <queue>
 #include <random>
 
 namespace laburnummill::testing {
@@ -57,19 +57,11 @@
     };
 
     class Leases;
-    struct Event
-    {
-        std::int64_t atMs = 0;
-        std::uint64_t number = 0;
-        std::function<void()> act;
-
-        auto operator>(const Event& other) const -> bool { return std::tie(atMs, number) > std::tie(other.atMs, other.number); }
-    };
-
     auto moment() const -> programs::Moment;
     auto pick(std::int64_t from, std::int64_t to) -> std::int64_t;
     auto chance(double share) -> bool;
     auto later(std::int64_t delayMs, std::function<void()> act) -> void;
+    auto runEvent() -> void;
     auto note(std::string event) -> void;
     auto ownerOf(const std::string& program) const -> std::optional<std::size_t>;
     auto fencingFor(std::size_t host, std::uint64_t incarnation, const std::string& program) const -> std::optional<std::uint64_t>;
@@ -110,10 +102,9 @@
     Options m_options;
     std::mt19937_64 m_random;
     std::int64_t m_nowMs = 1'000'000;
-    std::uint64_t m_events = 0;
     std::uint64_t m_step = 0;
     std::uint64_t m_view = 1;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_queue;
+    EventQueue<std::int64_t> m_queue;
     std::vector<Host> m_hosts;
     SoakStore m_store;
     SoakCallers m_callers;
--- a/testing/soak/programs/soakfaults.cpp
+++ b/testing/soak/programs/soakfaults.cpp
@@ -235,10 +235,7 @@
     note("calm");
     const auto end = m_nowMs + s_calmMs;
     while (m_nowMs < end && m_outcome.violations.empty()) {
-        auto event = m_queue.top();
-        m_queue.pop();
-        m_nowMs = std::max(m_nowMs, event.atMs);
-        event.act();
+        runEvent();
     }
 }
 
--- a/testing/soak/scheduling/schedulingworld.cpp
+++ b/testing/soak/scheduling/schedulingworld.cpp
@@ -17,29 +17,13 @@
 
 namespace {
 
-constexpr auto s_backends = std::size_t{6};
-constexpr auto s_executors = std::size_t{4};
 constexpr auto s_accounts = std::int64_t{5};
 constexpr auto s_programs = std::int64_t{60};
 constexpr auto s_submitInterval = Milliseconds(15);
 constexpr auto s_tickInterval = Milliseconds(50);
 constexpr auto s_reportInterval = Milliseconds(400);
-constexpr auto s_faultInterval = Milliseconds(700);
-constexpr auto s_window = Seconds(30);
-constexpr auto s_drainInForce = Milliseconds(2'000);
-constexpr auto s_deathNoticed = Milliseconds(3'000);
-constexpr auto s_newDispatcherAfter = Milliseconds(1'200);
-constexpr auto s_overdueAfter = Seconds(8);
 constexpr auto s_ending = Seconds(200);
 constexpr auto s_keptEvents = std::size_t{40};
-constexpr auto s_stepsAfterInside = std::uint64_t{5'000};
-constexpr auto s_windowAsked = std::uint64_t{20};
-constexpr auto s_windowGranted = std::uint64_t{300};
-
-auto keyText(const PermitKey& key) -> std::string
-{
-    return std::to_string(key.holder) + "/" + std::to_string(key.number);
-}
 
 auto holderOf(const scheduling::Action& action) -> std::uint64_t
 {
@@ -82,7 +66,7 @@
 
 auto SchedulingWorld::after(Milliseconds delay, std::function<void()> run) -> void
 {
-    m_events.push({m_now + delay, m_nextEvent++, std::move(run)});
+    m_events.push(m_now + delay, std::move(run));
 }
 
 auto SchedulingWorld::note(std::string text) -> void
@@ -93,6 +77,11 @@
     }
 }
 
+auto SchedulingWorld::keyText(const PermitKey& key) -> std::string
+{
+    return std::to_string(key.holder) + "/" + std::to_string(key.number);
+}
+
 auto SchedulingWorld::linkOf(std::uint64_t holder) -> std::uint64_t
 {
     const auto* executor = executorOf(holder);
@@ -296,52 +285,6 @@
     });
 }
 
-auto SchedulingWorld::faultLoop() -> void
-{
-    if (m_quiet) {
-        return;
-    }
-    const auto which = between(0, 20);
-    if (which < 4) {
-        restartBackend();
-    } else if (which < 6) {
-        toggleDrain();
-    } else if (which == 6) {
-        killExecutor();
-    } else if (which == 7) {
-        relink(m_executors[static_cast<std::size_t>(between(0, s_executors - 1))]);
-    } else if (which == 8 && m_dispatcher) {
-        killDispatcher();
-    } else if (which == 9 && chance(0.2)) {
-        for (auto number = std::size_t{0}; number < s_backends; ++number) {
-            restartBackend();
-        }
-    }
-    after(s_faultInterval, [this] { faultLoop(); });
-}
-
-auto SchedulingWorld::restartBackend() -> void
-{
-    const auto index = static_cast<std::size_t>(between(0, s_backends - 1));
-    auto& backend = m_backends[index];
-    note("restart " + backend.spec().name);
-    const auto brokenOff = backend.restart(m_now, m_now + Milliseconds(between(500, 3'000)));
-    const auto life = backend.life();
-    auto reaches = false;
-    for (const auto& key : brokenOff) {
-        reaches = reaches || executorOf(key.holder) != nullptr;
-        end(key, PermitEnd::ConnectionFailed);
-    }
-    if (reaches && m_dispatcher) {
-        // NOTE Resets reach the dispatcher within two ways; grants of before need two more to arrive.
-        after(Milliseconds(20), [this, index, life] {
-            if (m_backends[index].life() == life) {
-                m_backends[index].coldKnown();
-            }
-        });
-    }
-}
-
 auto SchedulingWorld::specs() const -> std::vector<scheduling::EngineSpec>
 {
     auto specs = std::vector<scheduling::EngineSpec>();
@@ -351,155 +294,15 @@
     return specs;
 }
 
-auto SchedulingWorld::toggleDrain() -> void
-{
-    auto& backend = m_backends[static_cast<std::size_t>(between(0, s_backends - 1))];
-    backend.setLeaving(!backend.spec().leaving, m_now + s_drainInForce);
-    note((backend.spec().leaving ? "drain " : "return ") + backend.spec().name);
-    after(Milliseconds(between(10, 1'900)), [this] {
-        if (m_dispatcher) {
-            m_dispatcher->configure(specs(), m_now);
-        }
-    });
-}
-
-auto SchedulingWorld::killExecutor() -> void
-{
-    auto& executor = m_executors[static_cast<std::size_t>(between(0, s_executors - 1))];
-    const auto holder = executor.holder;
-    note("executor dies " + std::to_string(holder));
-    // NOTE Its requests go on at the back ends for a while.
-    executor = {m_nextHolder++, 1, 1, {}};
-    after(s_deathNoticed, [this, holder] {
-        if (m_dispatcher) {
-            m_dispatcher->holderDied(holder, m_now);
-        }
-    });
-    if (m_dispatcher && chance(0.4)) {
-        // NOTE The dispatcher ran in the same daemon.
-        killDispatcher();
-    }
-}
-
-auto SchedulingWorld::relink(Executor& executor) -> void
-{
-    auto open = std::vector<OpenPermit>();
-    auto waiting = std::vector<scheduling::CallNeed>();
-    for (const auto& [number, request] : executor.requests) {
-        if (request.state == State::Granted) {
-            open.push_back(request.permit);
-        } else {
-            waiting.push_back(request.need);
-        }
-    }
-    const auto holder = executor.holder;
-    ++executor.link;
-    note("relink " + std::to_string(holder));
-    if (m_dispatcher) {
-        m_dispatcher->adopt(holder, open, m_now);
-    }
-    std::ranges::for_each(waiting, [this](const auto& need) { submit(need); });
-}
-
-auto SchedulingWorld::killDispatcher() -> void
-{
-    note("dispatcher dies");
-    m_verdict.inside += m_dispatcher->counts().grantsBeyondBound + m_dispatcher->counts().grantsToLeaving;
-    m_dispatcher.reset();
-    after(s_newDispatcherAfter, [this] { startDispatcher(); });
-}
-
-auto SchedulingWorld::startDispatcher() -> void
-{
-    ++m_term;
-    note("dispatcher starts");
-    m_dispatcher = std::make_unique<Dispatcher>(m_parts.rules(), m_parts.policy());
-    m_dispatcher->begin(m_now);
-    m_dispatcher->configure(specs(), m_now);
-    after(Milliseconds(between(1, 300)), [this, term = m_term] {
-        if (!m_dispatcher || m_term != term) {
-            return;
-        }
-        for (auto& executor : m_executors) {
-            relink(executor);
-        }
-        m_dispatcher->peersHeard(m_now);
-    });
-}
-
-auto SchedulingWorld::windowLoop() -> void
-{
-    auto total = std::uint64_t{0};
-    for (const auto& [account, share] : m_shares) {
-        total += share.granted;
-    }
-    for (const auto& [account, share] : m_shares) {
-        if (total >= s_windowGranted && share.asked >= s_windowAsked && share.granted == 0) {
-            note("starved " + account);
-            ++m_verdict.starved;
-        }
-    }
-    m_shares.clear();
-    after(s_window, [this] { windowLoop(); });
-}
-
-auto SchedulingWorld::checkOverdue() -> void
-{
-    for (const auto& executor : m_executors) {
-        for (const auto& [number, request] : executor.requests) {
-            if (request.state == State::Waiting && m_now > request.need.deadline + s_overdueAfter) {
-                note("overdue " + keyText(request.need.key));
-                ++m_verdict.outcomes;
-            }
-        }
-    }
-}
-
 auto SchedulingWorld::runEvent() -> void
 {
-    auto event = m_events.top();
-    m_events.pop();
+    const auto event = m_events.pop();
     m_now = event.at;
     ++m_step;
     event.run();
     handOut();
 }
 
-auto SchedulingWorld::verdict() const -> SchedulingVerdict
-{
-    auto verdict = m_verdict;
-    for (const auto& backend : m_backends) {
-        verdict.beyondBound += backend.beyondBound();
-        verdict.whileLeaving += backend.whileLeaving();
-    }
-    if (m_dispatcher) {
-        verdict.inside += m_dispatcher->counts().grantsBeyondBound + m_dispatcher->counts().grantsToLeaving;
-    }
-    return verdict;
-}
-
-auto SchedulingWorld::checkEnd() -> void
-{
-    m_verdict.leaks += m_dispatcher ? m_dispatcher->openPermits() + m_dispatcher->waiting() : 1;
-    for (auto index = std::size_t{0}; m_dispatcher && index < s_backends; ++index) {
-        m_verdict.leaks += m_dispatcher->engines().at(static_cast<scheduling::EngineIndex>(index)).orphans;
-    }
-    for (const auto& executor : m_executors) {
-        m_verdict.outcomes += executor.requests.size();
-    }
-}
-
-auto SchedulingWorld::shouldStop() -> bool
-{
-    auto outside = verdict();
-    if (outside.inside > 0 && m_insideSince == 0) {
-        m_insideSince = m_step;
-    }
-    // NOTE What the dispatcher sees of itself is let run on a little, so that the back ends see it too.
-    outside.inside = 0;
-    return !outside.holds() || (m_insideSince > 0 && m_step > m_insideSince + s_stepsAfterInside);
-}
-
 auto SchedulingWorld::run(std::uint64_t steps) -> SchedulingVerdict
 {
     while (m_step < steps && !shouldStop()) {
--- a/testing/soak/scheduling/schedulingworld.h
+++ b/testing/soak/scheduling/schedulingworld.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "scheduling/internal/dispatcher.h"
+#include "testing/simulation/eventqueue.h"
 #include "testing/soak/scheduling/soakbackend.h"
 
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 
 namespace laburnummill::testing {
@@ -49,6 +49,9 @@
     auto verdict() const -> SchedulingVerdict;
 
 private:
+    static constexpr auto s_backends = std::size_t{6};
+    static constexpr auto s_executors = std::size_t{4};
+
     enum class State
     {
         Waiting,
@@ -68,14 +71,6 @@
         std::uint64_t link = 1;                    ///< messages of an earlier link are lost
         std::map<std::uint64_t, Request> requests; ///< without an outcome yet
     };
-    struct Event
-    {
-        framework::Instant at;
-        std::uint64_t number;
-        std::function<void()> run;
-
-        auto operator>(const Event& other) const -> bool { return std::tie(at, number) > std::tie(other.at, other.number); }
-    };
     struct Share
     {
         std::uint64_t asked = 0;
@@ -86,6 +81,7 @@
     auto toDispatcher(std::uint64_t holder, std::function<void(scheduling::Dispatcher&)> message) -> void;
     auto linkOf(std::uint64_t holder) -> std::uint64_t;
     auto note(std::string text) -> void;
+    static auto keyText(const scheduling::PermitKey& key) -> std::string;
     auto chance(double probability) -> bool { return std::bernoulli_distribution(probability)(m_random); }
     auto between(std::int64_t least, std::int64_t most) -> std::int64_t
     {
@@ -128,8 +124,7 @@
     SchedulingParts m_parts;
     framework::Instant m_now{framework::Seconds(1'000)};
     std::uint64_t m_step = 0;
-    std::uint64_t m_nextEvent = 1;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    EventQueue<framework::Instant> m_events;
     std::deque<std::string> m_lastEvents;
     std::vector<SoakBackend> m_backends;
     std::vector<Executor> m_executors;
