--- a/src/serving/attemptrun.cpp
+++ b/src/serving/attemptrun.cpp
@@ -30,6 +30,19 @@
     bool isGivenUp = false;
 };
 
+/// An attempt that was cancelled because another server may answer sooner; it may also have ended by itself at that moment.
+auto endOfGivenUp(AttemptEnd end) -> AttemptEnd
+{
+    switch (end) {
+    case AttemptEnd::Cancelled:
+        return AttemptEnd::Overdue;
+    case AttemptEnd::CancelledUnsent:
+        return AttemptEnd::NotSent;
+    default:
+        return end;
+    }
+}
+
 } // namespace
 
 auto RequestRun::attemptOnce(const BackendPtr& backend) -> Async<AttemptResult>
@@ -56,9 +69,7 @@
     timer.cancel();
     m_awaited.reset();
     if (watch->isGivenUp && !m_cancellation->cancelled()) {
-        result.end = result.end == AttemptEnd::Cancelled         ? AttemptEnd::Overdue
-                     : result.end == AttemptEnd::CancelledUnsent ? AttemptEnd::NotSent
-                                                                 : result.end;
+        result.end = endOfGivenUp(result.end);
     }
     --backend->running;
     if (result.end != AttemptEnd::NotSent && result.end != AttemptEnd::CancelledUnsent) {
@@ -112,9 +123,9 @@
         auto slowness = 0.0;
         if (!isFailure && isStream && m_events.events() > 1) {
             const auto span = std::chrono::duration<double, std::milli>(m_lastEventAt - m_firstEventAt).count();
-            slowness = m_parts.latencies.slowness(m_route->name, span / (m_events.events() - 1));
+            slowness = m_parts.latencies.record(m_route->name, span / (m_events.events() - 1));
         } else if (!isFailure && !isStream) {
-            slowness = m_parts.latencies.slowness(m_route->name, static_cast<double>(result.toHead.count()));
+            slowness = m_parts.latencies.record(m_route->name, static_cast<double>(result.toHead.count()));
         }
         backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, slowness, now);
         m_parts.quarantine.answered(fingerprint);
--- a/src/serving/backendconnections.cpp
+++ b/src/serving/backendconnections.cpp
@@ -57,7 +57,7 @@
 {
     auto& kept = m_kept[backend.get()];
     if (kept.backend.lock() != backend) {
-        kept = Kept{.backend = backend, .connections = {}};
+        kept = Kept{.backend = backend, .connections = {}, .restBeforeReset = {}};
     }
     while (!kept.connections.empty()) {
         auto connection = std::move(kept.connections.back());
@@ -87,7 +87,6 @@
     for (auto entry = m_kept.begin(); entry != m_kept.end();) {
         const auto backend = entry->second.backend.lock();
         if (!backend || backend->isGone) {
-            m_resetAfter.erase(entry->first);
             entry = m_kept.erase(entry);
             continue;
         }
@@ -99,24 +98,20 @@
 
 auto BackendConnections::wasReset(const backends::BackendPtr& backend, const BackendConnection& connection) -> void
 {
-    if (connection.rested > s_shortestRestLimit) {
-        m_resetAfter[backend.get()] = connection.rested;
+    const auto kept = m_kept.find(backend.get());
+    if (kept != m_kept.end() && connection.rested > s_shortestRestLimit) {
+        kept->second.restBeforeReset = connection.rested;
     }
 }
 
-auto BackendConnections::noteForgotten(const backends::BackendPtr& backend) -> void
+auto BackendConnections::noteForgotten(const backends::Backend& backend, Milliseconds rested) -> void
 {
-    const auto reset = m_resetAfter.find(backend.get());
-    if (reset == m_resetAfter.end()) {
-        return;
-    }
-    const auto limit = std::max(s_shortestRestLimit, Milliseconds(static_cast<std::int64_t>(reset->second.count() * s_forgottenShare)));
+    const auto limit = std::max(s_shortestRestLimit, Milliseconds(static_cast<std::int64_t>(rested.count() * s_forgottenShare)));
     const auto now = m_clock.now();
     m_restLimit = now < m_restLimitUntil ? std::min(m_restLimit, limit) : limit;
     m_restLimitUntil = now + s_forgottenMemory;
     framework::logEvent(framework::LogLevel::Info, "serving", "connections_forgotten",
-                        {{"server", backend->entry.id}, {"restedMs", reset->second.count()}, {"limitMs", m_restLimit.count()}});
-    m_resetAfter.erase(reset);
+                        {{"server", backend.entry.id}, {"restedMs", rested.count()}, {"limitMs", m_restLimit.count()}});
 }
 
 auto BackendConnections::connect(const backends::BackendPtr& backend, CancellationPtr cancellation) -> Async<BackendConnectionPtr>
@@ -148,7 +143,10 @@
     if (error || !connection->socket.is_open()) {
         co_return nullptr;
     }
-    noteForgotten(backend);
+    const auto kept = m_kept.find(backend.get());
+    if (kept != m_kept.end() && kept->second.restBeforeReset.count() > 0) {
+        noteForgotten(*backend, std::exchange(kept->second.restBeforeReset, {}));
+    }
     connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
     ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &s_unacknowledgedMilliseconds,
                  sizeof(s_unacknowledgedMilliseconds));
--- a/src/serving/backendconnections.h
+++ b/src/serving/backendconnections.h
@@ -56,18 +56,18 @@
     auto connect(const backends::BackendPtr& backend, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
     auto isStillGood(BackendConnection& connection) const -> bool;
     auto usableRest(const BackendConnection& connection) const -> framework::Milliseconds;
-    auto noteForgotten(const backends::BackendPtr& backend) -> void;
+    auto noteForgotten(const backends::Backend& backend, framework::Milliseconds rested) -> void;
 
     struct Kept
     {
         std::weak_ptr<backends::Backend> backend;
         std::deque<BackendConnectionPtr> connections; ///< used last at the back
+        framework::Milliseconds restBeforeReset{0};   ///< of a connection that was reset, until the server is reached again
     };
 
     framework::asio::any_io_executor m_executor;
     const framework::IClock& m_clock;
     std::map<backends::Backend*, Kept> m_kept;
-    std::map<backends::Backend*, framework::Milliseconds> m_resetAfter; ///< rest before a reset, until the server is reached
     framework::Milliseconds m_restLimit{0};
     framework::Instant m_restLimitUntil{};
     std::uint64_t m_made = 0;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace laburnummill::serving {
 
@@ -41,6 +42,7 @@
 
 /// The host that ran a turn and two others hold it while the store is away.
 constexpr auto s_turnHolders = 3;
+constexpr auto s_keepers = std::size_t{s_turnHolders - 1};
 
 /// Addresses told in one heartbeat: enough that a new host soon knows all.
 constexpr auto s_addressesTold = std::size_t{8};
@@ -300,10 +302,10 @@
     return near;
 }
 
-auto FleetLink::rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>
+auto FleetLink::ranksOf(std::string_view key, bool isOwnDataCentre) const -> Ranks
 {
-    auto ranked = std::vector<std::pair<std::uint64_t, std::string>>();
-    const auto add = [&](const std::string& address) { ranked.emplace_back(framework::hash64(key, framework::hash64(address)), address); };
+    auto ranks = Ranks();
+    const auto add = [&](const std::string& address) { ranks.emplace_back(framework::hash64(key, framework::hash64(address)), address); };
     for (const auto* peer : heard()) {
         if (!peer->last.is_leaving() && (peer->last.data_centre() == m_settings.dataCentre) == isOwnDataCentre) {
             add(peer->address);
@@ -312,38 +314,30 @@
     if (isOwnDataCentre && !m_isLeaving) {
         add(m_settings.peerAddress);
     }
-    std::ranges::sort(ranked);
-    auto addresses = std::vector<std::string>();
-    for (auto& [rank, address] : ranked) {
-        addresses.push_back(std::move(address));
-    }
-    return addresses;
+    return ranks;
 }
 
 auto FleetLink::home(std::string_view program) const -> std::string
 {
-    const auto near = rankedBy(program, true);
-    return near.empty() ? m_settings.peerAddress : near.front();
+    const auto near = ranksOf(program, true);
+    return near.empty() ? m_settings.peerAddress : std::string(std::ranges::min_element(near)->second);
 }
 
 auto FleetLink::keepers(std::string_view program) const -> std::vector<std::string>
 {
-    auto near = rankedBy(program, true);
-    std::erase(near, m_settings.peerAddress);
-    const auto far = rankedBy(program, false);
-    auto chosen = std::vector<std::string>();
-    if (!far.empty()) {
-        chosen.push_back(far.front());
-    }
-    for (const auto& address : near) {
-        if (chosen.size() < 2) {
-            chosen.push_back(address);
-        }
-    }
-    if (chosen.size() < 2 && far.size() > 1) {
-        chosen.push_back(far[1]);
-    }
-    return chosen;
+    auto near = ranksOf(program, true);
+    std::erase_if(near, [this](const auto& rank) { return rank.second == m_settings.peerAddress; });
+    std::ranges::sort(near);
+    auto far = ranksOf(program, false);
+    std::ranges::sort(far);
+    // One far away, then near ones, then another one far away.
+    auto ordered = std::vector<std::string>();
+    const auto add = [&ordered](const auto& rank) { ordered.emplace_back(rank.second); };
+    std::ranges::for_each(far | std::views::take(1), add);
+    std::ranges::for_each(near, add);
+    std::ranges::for_each(far | std::views::drop(1), add);
+    ordered.resize(std::min(ordered.size(), s_keepers));
+    return ordered;
 }
 
 auto FleetLink::storeHelpers() const -> std::vector<std::string>
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -79,7 +79,9 @@
     };
 
     auto heard() const -> std::vector<const peers::Peer*>;
-    auto rankedBy(std::string_view key, bool isOwnDataCentre) const -> std::vector<std::string>;
+    /// Hosts by their rank for `key`, the same on all hosts that hear the same ones; the lowest counts first.
+    using Ranks = std::vector<std::pair<std::uint64_t, std::string_view>>;
+    auto ranksOf(std::string_view key, bool isOwnDataCentre) const -> Ranks;
     auto answerGrant(peers::messages::GrantQuery query) -> framework::Async<peers::messages::Response>;
     auto beatLoop() -> framework::Async<void>;
     auto makeHeartbeat() -> peers::messages::Heartbeat;
--- a/src/serving/latencybook.cpp
+++ b/src/serving/latencybook.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-auto LatencyBook::slowness(std::string_view kind, double milliseconds) -> double
+auto LatencyBook::record(std::string_view kind, double milliseconds) -> double
 {
     auto found = m_usual.find(kind);
     if (found == m_usual.end()) {
--- a/src/serving/latencybook.h
+++ b/src/serving/latencybook.h
@@ -11,8 +11,8 @@
 class LatencyBook
 {
 public:
-    /// `milliseconds` against the usual of `kind` (1 is usual); 0 where too little is known yet.
-    auto slowness(std::string_view kind, double milliseconds) -> double;
+    /// Takes a time of `kind`; returns it against the usual (1 is usual), or 0 where too little is known yet.
+    auto record(std::string_view kind, double milliseconds) -> double;
 
     /// The usual of `kind`, in milliseconds; nothing where too little is known yet.
     auto usual(std::string_view kind) const -> std::optional<double>;
--- a/src/serving/tests/servingdecisionstest.cpp
+++ b/src/serving/tests/servingdecisionstest.cpp
@@ -197,10 +197,10 @@
 TEST(LatencyBook, tellsHowSlowATimeIsAgainstTheUsual)
 {
     for (auto time = 0; time < 19; ++time) {
-        DOUBLES_EQUAL(0, book.slowness("kind", 100), 1e-9);
+        DOUBLES_EQUAL(0, book.record("kind", 100), 1e-9);
     }
-    DOUBLES_EQUAL(1, book.slowness("kind", 100), 0.01);
-    CHECK_TRUE(book.slowness("kind", 500) > 4);
+    DOUBLES_EQUAL(1, book.record("kind", 100), 0.01);
+    CHECK_TRUE(book.record("kind", 500) > 4);
 }
 
 TEST_GROUP(Refusals){};
--- a/src/serving/turnrun.cpp
+++ b/src/serving/turnrun.cpp
@@ -119,7 +119,7 @@
     if (m_firstEventAt == framework::Instant{}) {
         m_firstEventAt = m_lastEventAt;
         const auto wait = std::chrono::duration<double, std::milli>(m_firstEventAt - m_attemptBegan).count();
-        m_parts.latencies.slowness(firstEventKind(), wait);
+        m_parts.latencies.record(firstEventKind(), wait);
         m_parts.metrics.record("first_event_ms", std::chrono::duration<double, std::milli>(m_lastEventAt - m_request.arrivedAt).count());
     }
     co_return co_await m_answer.piece(bytes);
