--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -26,6 +26,9 @@
 constexpr auto s_slowStoreTimeout = Milliseconds(10);
 constexpr auto s_queryTimeout = Milliseconds(200);
 
+/// A host that is asked whether it knows a program answers from memory.
+constexpr auto s_programQueryTimeout = Milliseconds(30);
+
 /// A home host waits up to `s_settleTimeout` for other turns, plus one round of queries to the other hosts.
 constexpr auto s_homeTimeout = Milliseconds(1'300);
 
@@ -48,6 +51,12 @@
 /// During an outage a turn may run with this share of its maximum: a typical turn generates no more.
 constexpr auto s_minOutageGrantShare = 0.25;
 
+/// Whether a program that starts during an outage may be granted more than one turn's tokens.
+auto mayBeGrantedMore(const Program& program, std::uint64_t maxTokens) -> bool
+{
+    return program.history == TurnHistory::KeptByHosts && program.budget > s_largeBudgetTurns * maxTokens;
+}
+
 } // namespace
 
 BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
@@ -59,35 +68,35 @@
     , m_clock(clock)
 {}
 
-auto BudgetLedger::reserve(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn) -> Async<Reservation>
+auto BudgetLedger::reserve(ProgramKey key, TokenDemand demand) -> Async<Reservation>
 {
-    if (maxTokens > budget) {
+    if (demand.maxTokens > demand.budget) {
         co_return Reservation{.outcome = BudgetOutcome::Exhausted, .tokens = 0};
     }
     const auto known = m_table.find(key);
-    if (known && known->holding.reserve(maxTokens)) {
-        co_return Reservation{.outcome = BudgetOutcome::Reserved, .tokens = maxTokens};
+    if (known && known->holding.reserve(demand.maxTokens)) {
+        co_return Reservation{.outcome = BudgetOutcome::Reserved, .tokens = demand.maxTokens};
     }
     const auto home = m_peers.home(key.program);
     if (home != m_peers.ownAddress()) {
-        const auto atHome = co_await reserveAtHome(key, home, budget, maxTokens, isFirstTurn);
+        const auto atHome = co_await reserveAtHome(key, home, demand);
         if (atHome) {
             co_return *atHome;
         }
     }
-    co_return co_await reserveHere(std::move(key), budget, maxTokens, isFirstTurn, false);
+    co_return co_await reserveHere(std::move(key), demand, false);
 }
 
-auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn)
-    -> Async<std::optional<Reservation>>
+auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> Async<std::optional<Reservation>>
 {
     auto request = peers::messages::Request();
     auto& query = *request.mutable_grant_query();
     query.set_account(key.account);
     query.set_program(key.program);
-    query.set_tokens(maxTokens);
-    query.set_budget(budget);
-    query.set_is_first_turn(isFirstTurn);
+    query.set_tokens(demand.maxTokens);
+    query.set_budget(demand.budget);
+    query.set_is_first_turn(demand.isFirstTurn);
+    query.set_is_history_sent_by_caller(demand.history == TurnHistory::SentByCaller);
     query.set_may_take_more(true);
     const auto response = co_await m_peers.call(std::move(home), std::move(request), s_homeTimeout);
     if (!response) {
@@ -95,7 +104,7 @@
     }
     const auto outcome = static_cast<BudgetOutcome>(response.value().budget_outcome());
     const auto program = m_table.program(key);
-    program->budget = budget;
+    ProgramTable::limitBudget(*program, demand.budget);
     program->holding.transferIn(response.value().granted());
     if (outcome != BudgetOutcome::Reserved) {
         co_return Reservation{.outcome = outcome, .tokens = 0};
@@ -104,17 +113,17 @@
     co_return Reservation{.outcome = outcome, .tokens = response.value().granted()};
 }
 
-auto BudgetLedger::reserveForPeer(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn) -> Async<Reservation>
+auto BudgetLedger::reserveForPeer(ProgramKey key, TokenDemand demand) -> Async<Reservation>
 {
     // The program's home host in another data centre sends this query if this host is the grantor; don't send one back.
     const auto isGrantor = hasProgram(key);
-    auto reservation = co_await reserveHere(key, budget, maxTokens, isFirstTurn, isGrantor);
+    auto reservation = co_await reserveHere(key, demand, isGrantor);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         const auto program = m_table.program(key);
         program->holding.settle(reservation.tokens, 0);
         program->holding.transferOut(reservation.tokens);
-        if (program->holding.free() < maxTokens && !m_isStoreSlow) {
-            startRefill(key, program, maxTokens); // Prefetch for the next turn.
+        if (program->holding.free() < demand.maxTokens && !m_isStoreSlow) {
+            startRefill(key, program, demand.maxTokens); // Prefetch for the next turn.
         }
     }
     co_return reservation;
@@ -127,11 +136,12 @@
     program->changed.notify();
 }
 
-auto BudgetLedger::reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn, bool isGrantor)
-    -> Async<Reservation>
+auto BudgetLedger::reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> Async<Reservation>
 {
     const auto program = m_table.program(key);
-    program->budget = budget;
+    const auto maxTokens = demand.maxTokens;
+    program->history = demand.history;
+    ProgramTable::limitBudget(*program, demand.budget);
     program->awaitedTokens += maxTokens;
     const auto deadline = m_clock.now() + s_settleTimeout;
     auto reservation = Reservation();
@@ -160,10 +170,10 @@
         }
         if (isUnavailable && !others.grantor.empty() && !isGrantor) {
             // One host grants tokens for all hosts that reach it.
-            const auto fromGrantor = co_await reserveAtHome(key, others.grantor, budget, maxTokens, isFirstTurn);
+            const auto fromGrantor = co_await reserveAtHome(key, others.grantor, demand);
             reservation = fromGrantor.value_or(Reservation());
         } else if (isUnavailable) {
-            reservation = grantWithoutStore(key, *program, maxTokens, isFirstTurn, others);
+            reservation = grantWithoutStore(key, *program, demand, others);
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Exhausted : BudgetOutcome::Undetermined;
         }
@@ -177,6 +187,21 @@
     co_return reservation;
 }
 
+auto BudgetLedger::isInProgress(ProgramKey key) -> Async<bool>
+{
+    if (hasProgram(key)) {
+        co_return true;
+    }
+    auto request = peers::messages::Request();
+    auto& query = *request.mutable_grant_query();
+    query.set_account(key.account);
+    query.set_program(key.program);
+    const auto isKnown = [](const peers::messages::Response& response) { return response.knows_program(); };
+    const auto answers =
+        co_await peers::callAll(m_peers, m_peers.replicaHosts(key.program), std::move(request), s_programQueryTimeout, isKnown);
+    co_return std::ranges::any_of(answers.responses, isKnown);
+}
+
 auto BudgetLedger::settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t
 {
     const auto program = m_table.program(key);
@@ -344,7 +369,7 @@
         co_return 0;
     }
     const auto others = co_await queryPeers(key, program, maxTokens);
-    const auto isLarge = program->budget > s_largeBudgetTurns * maxTokens;
+    const auto isLarge = mayBeGrantedMore(*program, maxTokens);
     // Unreachable hosts may have granted tokens as well. A budget may be exceeded by one turn's tokens, so only the larger grants
     // to programs with large budgets are counted.
     const auto unreachable = m_peers.isAnyHostUnreachable() && isLarge ? program->budget / s_outageGrantDivisor : 0;
@@ -389,12 +414,14 @@
         others.hasRunningTurns = others.hasRunningTurns || response.reserved() > 0;
         // A host that has already granted tokens remains the grantor; otherwise the grantor is the host with the lowest address
         // among those that have the program.
-        const auto isBefore =
-            response.has_lent() != (program->unrecordedTokens > 0) ? response.has_lent() : response.address() < m_peers.ownAddress();
+        const auto isBefore = response.has_lent() != (program->unrecordedTokens > 0)
+                                  ? response.has_lent()
+                                  : !hasProgram(key) || response.address() < m_peers.ownAddress();
         const auto isBest = others.grantor.empty() || response.has_lent() || response.address() < others.grantor;
         if (response.knows_program() && isBefore && isBest) {
             others.grantor = response.address();
         }
+        others.isProgramKnown = others.isProgramKnown || response.knows_program() || response.lent() > 0;
         if (response.knows_program()) {
             others.unclaimedTokens = std::min<std::uint64_t>(others.unclaimedTokens, response.left());
         }
@@ -405,26 +432,36 @@
     co_return others;
 }
 
-auto BudgetLedger::unrecordedGrantLimit(const Program& program, std::uint64_t maxTokens) const -> std::uint64_t
+auto BudgetLedger::unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t
 {
-    const auto isLarge = program.budget > s_largeBudgetTurns * maxTokens && !program.isRowKnown;
-    const auto limit = isLarge ? program.budget / s_outageGrantDivisor : maxTokens;
+    const auto isLarge = mayBeGrantedMore(program, demand.maxTokens) && !program.isRowKnown;
+    const auto limit = isLarge ? program.budget / s_outageGrantDivisor : demand.maxTokens;
     return m_peers.isAnyHostUnreachable() ? limit / 2 : limit; // Unreachable hosts may grant tokens as well.
 }
 
-auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, std::uint64_t maxTokens, bool isFirstTurn,
-                                     const PeerHoldings& others) -> Reservation
+auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
+{
+    if (demand.history == TurnHistory::KeptByHosts) {
+        return demand.isFirstTurn;
+    }
+    // Hosts that ran earlier turns know the program, unless they have lost their memory since.
+    return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveUnknownTurns();
+}
+
+auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
+    -> Reservation
 {
-    const auto mayGrant = (program.isRowKnown || isFirstTurn || program.unrecordedTokens > 0) && others.grantor.empty();
+    const auto mayGrant =
+        (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
     // A program without a row started during this outage. If all hosts lose their memory now, its turns are lost together with
     // the record of the granted tokens, so that no later turn can continue them.
-    const auto limit = unrecordedGrantLimit(program, maxTokens);
+    const auto limit = unrecordedGrantLimit(program, demand);
     const auto unclaimedTokens = std::min(m_table.unclaimedTokens(program), others.unclaimedTokens);
     const auto room =
         std::min(unclaimedTokens - std::min(unclaimedTokens, others.unrecordedTokens), limit - std::min(limit, program.unrecordedTokens));
     const auto free = program.holding.free();
-    const auto tokens = std::min(maxTokens, free + room);
-    if (!mayGrant || static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(maxTokens)) {
+    const auto tokens = std::min(demand.maxTokens, free + room);
+    if (!mayGrant || static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(demand.maxTokens)) {
         return {.outcome = BudgetOutcome::Undetermined, .tokens = 0};
     }
     const auto granted = tokens - std::min(tokens, free);
@@ -433,7 +470,7 @@
     program.holding.reserve(tokens);
     framework::logEvent(
         framework::LogLevel::Warning, "programs", "tokens_lent",
-        {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.unrecordedTokens}, {"isFirstTurn", isFirstTurn}});
+        {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.unrecordedTokens}, {"isFirstTurn", demand.isFirstTurn}});
     return {.outcome = BudgetOutcome::Reserved, .tokens = tokens};
 }
 
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -31,7 +31,9 @@
 /// uses the tokens, so that the tokens in use never exceed those in the row, whichever hosts fail. During a store outage, one
 /// host of each group of hosts that reach each other grants tokens without recording them in the row first: one turn's worth,
 /// which is also the most by which a budget may be exceeded if all hosts fail then, or a quarter of the budget for a program
-/// that starts during the outage with a large budget. Hosts other than a program's home host reserve tokens through the home host
+/// that starts during the outage with a large budget and whose history the hosts keep: if all hosts fail, its turns are lost as well.
+/// A program whose history is sent by its caller can go on after such a loss, so that it is never granted more than one turn's worth.
+/// Hosts other than a program's home host reserve tokens through the home host
 /// if they can reach it.
 class BudgetLedger
 {
@@ -39,15 +41,18 @@
     BudgetLedger(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
                  const framework::IClock& clock);
 
-    /// Reserves `maxTokens`, the most that a turn may generate. `isFirstTurn`: the turn has no predecessor in the program.
-    auto reserve(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn) -> framework::Async<Reservation>;
+    /// Reserves the most that a turn may generate.
+    auto reserve(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
+
+    /// Whether the program has run turns: this host, its home or a host of another data centre that may stand in for it knows it.
+    auto isInProgress(ProgramKey key) -> framework::Async<bool>;
 
     /// Ends a reservation of which `used` tokens were generated. Returns the number of free tokens to send back to the
     /// program's home host; they are no longer counted on this host. Returns 0 if this host is the home.
     auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t;
 
     /// Reserves tokens on behalf of a turn at another host and transfers them to that host.
-    auto reserveForPeer(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn) -> framework::Async<Reservation>;
+    auto reserveForPeer(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
 
     /// Adds tokens that a turn at another host did not use.
     auto acceptReturnedTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
@@ -82,6 +87,7 @@
     /// What the other hosts reported about a program.
     struct PeerHoldings
     {
+        bool isProgramKnown = false;
         bool hasRunningTurns = false; ///< some hosts run turns of it and may return tokens soon
         std::string grantor;          ///< address of the host that grants tokens in place of this one; may be empty
         /// Unclaimed tokens of the budget: the lowest number that any host reported.
@@ -96,10 +102,8 @@
         std::optional<framework::Instant> storeCallStartedAt; ///< set while a store request is in progress
     };
 
-    auto reserveHere(ProgramKey key, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn, bool isGrantor)
-        -> framework::Async<Reservation>;
-    auto reserveAtHome(ProgramKey key, std::string home, std::uint64_t budget, std::uint64_t maxTokens, bool isFirstTurn)
-        -> framework::Async<std::optional<Reservation>>;
+    auto reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> framework::Async<Reservation>;
+    auto reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
     auto mayHaveUnrecordedGrants() const -> bool;
     auto isStoreUnavailable(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
@@ -110,9 +114,10 @@
     auto writeRow(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::AsyncResult<bool>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
     auto queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<PeerHoldings>;
-    auto grantWithoutStore(const ProgramKey& key, Program& program, std::uint64_t maxTokens, bool isFirstTurn, const PeerHoldings& others)
-        -> Reservation;
-    auto unrecordedGrantLimit(const Program& program, std::uint64_t maxTokens) const -> std::uint64_t;
+    auto grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others) -> Reservation;
+    /// Whether the program may have started during this outage, so that no row limits what it may still use.
+    auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
+    auto unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t;
 
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -56,6 +56,11 @@
     return program.budget - std::min(program.budget, taken + own);
 }
 
+auto ProgramTable::limitBudget(Program& program, std::uint64_t budget) -> void
+{
+    program.budget = program.budget == 0 ? budget : std::min(program.budget, budget);
+}
+
 auto ProgramTable::prepareChange(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange
 {
     auto row = program.row;
@@ -108,6 +113,9 @@
             program.holding.countAsSpent(unknown); // This host has evicted the program since.
         }
     }
+    if (record.budget() > 0) {
+        limitBudget(program, record.budget());
+    }
     program.unconfirmedEntry = 0;
     program.row = std::move(record);
     program.unrecordedTokens = program.holding.totalGranted() - std::min(program.holding.totalGranted(), ownEntry(program));
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -19,7 +19,8 @@
         : changed(std::move(executor))
     {}
 
-    std::uint64_t budget = 0;
+    std::uint64_t budget = 0; ///< 0 until a turn or the row states it
+    TurnHistory history = TurnHistory::KeptByHosts;
     TokenHolding holding;
     records::ProgramRecord row; ///< as last read or written
     std::uint64_t rowVersion = store::s_absentRow;
@@ -58,6 +59,9 @@
     /// Tokens of the budget that no host has claimed, by the row as last read or written.
     auto unclaimedTokens(const Program& program) const -> std::uint64_t;
 
+    /// Sets the program's budget. The lowest value that its turns and its row state is valid.
+    static auto limitBudget(Program& program, std::uint64_t budget) -> void;
+
     /// Builds the write that claims `tokens` more and records grants made during a store outage.
     auto prepareChange(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange;
 
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -27,6 +27,23 @@
     auto operator<=>(const ProgramKey&) const = default;
 };
 
+/// Which side keeps the text of a program's earlier turns.
+enum class TurnHistory
+{
+    KeptByHosts,  ///< a turn names the turn that it continues, and its text is stored
+    SentByCaller, ///< each turn carries the whole text itself
+};
+
+/// What a turn needs from the budget of its program.
+struct TokenDemand
+{
+    std::uint64_t budget = 0;    ///< of the whole program
+    std::uint64_t maxTokens = 0; ///< maximum number of tokens that the turn generates
+    /// The turn has no predecessor in the program. If the history is sent by the caller, turns do not tell, and this is false.
+    bool isFirstTurn = false;
+    TurnHistory history = TurnHistory::KeptByHosts;
+};
+
 /// The partition that holds a program's row and its turns.
 auto partitionOf(const ProgramKey& key) -> std::uint32_t;
 
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -13,17 +13,31 @@
 /// Whether a request may run more than once, and whether its response is a stream.
 enum class RequestKind
 {
-    Repeatable, ///< may run more than once
-    Once,       ///< runs at most once
-    Stream,     ///< runs at most once; the response is a stream of events
+    Repeatable,      ///< may run more than once
+    Once,            ///< runs at most once
+    Stream,          ///< runs at most once; the response is a stream of events
+    ResumableStream, ///< may run more than once; a further run can continue the stream after any of its events
 };
 
-inline constexpr auto s_requestKindNames = framework::NameTable<RequestKind, 3>{{
+inline constexpr auto s_requestKindNames = framework::NameTable<RequestKind, 4>{{
     {RequestKind::Repeatable, "repeatable"},
     {RequestKind::Once, "once"},
     {RequestKind::Stream, "stream"},
+    {RequestKind::ResumableStream, "resumable_stream"},
 }};
 
+/// Whether a request of this kind is idempotent.
+constexpr auto mayRunAgain(RequestKind kind) -> bool
+{
+    return kind == RequestKind::Repeatable || kind == RequestKind::ResumableStream;
+}
+
+/// Whether the response to a request of this kind is a stream of events.
+constexpr auto isStream(RequestKind kind) -> bool
+{
+    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
+}
+
 /// A service that receives a share of a route's requests.
 struct WeightedService
 {
@@ -42,6 +56,7 @@
     RequestKind kind = RequestKind::Once;
     framework::Milliseconds timeout{0};
     framework::Milliseconds latencyObjective{0};
+    framework::Milliseconds maxEventInterval{0}; ///< longest pause between events of a stream that is on time; 0 if unknown
     int maxAttempts = 1; ///< maximum number of backend servers that one request is sent to
     int priority = 0;    ///< 0 is the highest priority
     std::vector<WeightedService> services;
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -24,6 +24,13 @@
 constexpr auto s_retryWindow = Milliseconds(10'000);
 constexpr auto s_maxTrackedPrograms = std::size_t{1'000};
 
+/// Fraction of new programs that is rejected; 0 or less if none is.
+auto rejectedShare(const std::vector<BackendPtr>& servers, int priority, Instant now) -> double
+{
+    const auto allowance = priority == 0 ? s_highPriorityAllowance : 0;
+    return (loadOf(servers, now) - s_acceptAllLoad - allowance) / (s_rejectAllLoad - s_acceptAllLoad);
+}
+
 } // namespace
 
 Admission::Admission(std::uint64_t seed)
@@ -32,10 +39,12 @@
 
 auto Admission::mayBegin(const std::vector<BackendPtr>& servers, int priority, Instant now) -> bool
 {
-    const auto allowance = priority == 0 ? s_highPriorityAllowance : 0;
-    const auto load = loadOf(servers, now);
-    const auto rejectedShare = (load - s_acceptAllLoad - allowance) / (s_rejectAllLoad - s_acceptAllLoad);
-    return std::uniform_real_distribution<double>(0, 1)(m_random) >= rejectedShare;
+    return std::uniform_real_distribution<double>(0, 1)(m_random) >= rejectedShare(servers, priority, now);
+}
+
+auto Admission::isSelective(const std::vector<BackendPtr>& servers, int priority, Instant now) -> bool
+{
+    return rejectedShare(servers, priority, now) > 0;
 }
 
 auto Admission::isFirstRequest(const std::string& program, Instant now) -> bool
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -20,6 +20,9 @@
     /// Whether a new program is admitted. `servers` are the candidates for its turns; `priority` 0 is the highest.
     auto mayBegin(const std::vector<backends::BackendPtr>& servers, int priority, framework::Instant now) -> bool;
 
+    /// Whether the load is so high that some new programs are rejected.
+    static auto isSelective(const std::vector<backends::BackendPtr>& servers, int priority, framework::Instant now) -> bool;
+
     /// Records a request of a program and returns whether it is the program's first within the retry window.
     auto isFirstRequest(const std::string& program, framework::Instant now) -> bool;
 
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -62,7 +62,9 @@
     response.set_left(m_state.budgets->unclaimedTokens(key));
     response.set_lent(std::max(m_state.budgets->unrecordedTokens(key), m_state.journal->replicaTokens(key)));
     if (query.may_take_more()) {
-        const auto reservation = co_await m_state.budgets->reserveForPeer(key, query.budget(), query.tokens(), query.is_first_turn());
+        const auto history = query.is_history_sent_by_caller() ? programs::TurnHistory::SentByCaller : programs::TurnHistory::KeptByHosts;
+        const auto reservation = co_await m_state.budgets->reserveForPeer(
+            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
         response.set_granted(reservation.tokens);
         response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
     } else {
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -57,6 +57,7 @@
     if (!refusal) {
         startDeadline();
         watchCaller();
+        co_await determinePhase();
         refusal = co_await applyRateLimit();
     }
     if (!refusal) {
@@ -101,6 +102,17 @@
     if (m_request.id.empty()) {
         return Refusal::NoRequestId;
     }
+    if (m_request.lastEventId && m_route->kind != RequestKind::ResumableStream) {
+        return Refusal::NotResumable;
+    }
+    if (m_route->kind == RequestKind::ResumableStream) {
+        m_continuation.emplace(m_request.lastEventId);
+    }
+    if (m_route->keepsTurns) {
+        m_history = programs::TurnHistory::KeptByHosts;
+    } else if (routing::isStream(m_route->kind) && m_request.turn.hasBudget && !m_request.turn.program.empty()) {
+        m_history = programs::TurnHistory::SentByCaller;
+    }
     const auto seed = framework::hash64(m_request.turn.program.empty() ? m_request.id : m_request.turn.program);
     m_service = m_routes->service(routing::RouteTable::chooseService(*m_route, seed));
     if (m_service == nullptr) {
@@ -112,12 +124,6 @@
     return std::nullopt;
 }
 
-auto RequestHandler::programPhase() const -> accounts::ProgramPhase
-{
-    const auto begins = isTurn() ? m_request.turn.previousTurn.empty() : m_request.turn.program.empty();
-    return begins ? accounts::ProgramPhase::Starting : accounts::ProgramPhase::InProgress;
-}
-
 auto RequestHandler::applyRateLimit() -> Async<std::optional<Refusal>>
 {
     if (m_account.empty()) {
@@ -125,9 +131,9 @@
     }
     const auto startedAt = m_context.clock.now();
     const auto timeout =
-        programPhase() == accounts::ProgramPhase::InProgress ? std::min(s_limitWaitTimeout, remainingTime() / 3) : Milliseconds(0);
-    while (!m_context.limiter.admit(m_account, programPhase(), m_context.clock.now())) {
-        const auto wait = m_context.limiter.timeToNext(m_account, programPhase(), m_context.clock.now());
+        m_phase == accounts::ProgramPhase::InProgress ? std::min(s_limitWaitTimeout, remainingTime() / 3) : Milliseconds(0);
+    while (!m_context.limiter.admit(m_account, m_phase, m_context.clock.now())) {
+        const auto wait = m_context.limiter.timeToNext(m_account, m_phase, m_context.clock.now());
         if (m_context.clock.now() + wait > startedAt + timeout || m_interruption->hasCallerDisconnected) {
             co_return Refusal::RateLimited;
         }
@@ -143,7 +149,7 @@
 
 auto RequestHandler::checkCapacity() -> std::optional<Refusal>
 {
-    if (!isTurn() || programPhase() != accounts::ProgramPhase::Starting) {
+    if (!isTurn() || m_phase != accounts::ProgramPhase::Starting) {
         return std::nullopt;
     }
     const auto now = m_context.clock.now();
@@ -165,29 +171,41 @@
         const auto backend = chooseBackend();
         if (!backend) {
             if (last || m_context.clock.now() >= waitUntil) {
-                co_return last ? refusalAfter(last) : Refusal::NoServer;
+                co_return endUnserved(last);
             }
             auto pause = asio::steady_timer(m_context.executor, s_serverPollInterval);
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
+        if (m_continuation) {
+            m_continuation->beginRun();
+            m_request.lastEventId = m_continuation->lastEvent();
+        }
         last = co_await attemptOnce(backend);
         recordOutcome(backend, *last);
-        if (last->outcome == AttemptOutcome::Answered && !(canRetry(*last) && last->head.result_int() >= 500)) {
+        const auto isFailure = last->head.result_int() >= 500;
+        // A started response has the header of a success, so only a success can complete it.
+        const auto fitsResponse = !m_response.hasStarted() || last->head.result_int() < 300;
+        if (last->outcome == AttemptOutcome::Answered && fitsResponse && !(isFailure && canRetry(*last))) {
             co_await finish(backend, std::move(*last));
             co_return std::nullopt;
         }
-        if (m_response.hasStarted()) {
-            m_response.abort();
-            logEnd("broken_off", last->head.result_int());
-            co_return std::nullopt;
-        }
         if (!canRetry(*last)) {
-            co_return refusalAfter(last);
+            break;
         }
         m_requirements.tried.insert(backend->number);
     }
-    co_return refusalAfter(last);
+    co_return endUnserved(last);
+}
+
+auto RequestHandler::endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>
+{
+    if (!m_response.hasStarted()) {
+        return refusalAfter(last);
+    }
+    m_response.abort();
+    logEnd("broken_off", last ? last->head.result_int() : 0);
+    return std::nullopt;
 }
 
 auto RequestHandler::chooseBackend() -> BackendPtr
@@ -205,7 +223,7 @@
 
 auto RequestHandler::canRetry(const AttemptResult& result) const -> bool
 {
-    if (m_interruption->hasCallerDisconnected || m_interruption->isTimedOut || m_attempts >= m_route->maxAttempts) {
+    if (m_interruption->hasCallerDisconnected || m_interruption->isTimedOut || m_isOverGrant || m_attempts >= m_route->maxAttempts) {
         return false;
     }
     switch (result.outcome) {
@@ -217,7 +235,7 @@
     case AttemptOutcome::Lost:
     case AttemptOutcome::Truncated:
     case AttemptOutcome::Overdue:
-        return m_route->kind == RequestKind::Repeatable;
+        return routing::mayRunAgain(m_route->kind) && (!m_response.hasStarted() || m_continuation.has_value());
     case AttemptOutcome::Cancelled:
     case AttemptOutcome::CancelledUnsent:
         return false;
@@ -242,6 +260,9 @@
     if (isTurn() && status >= 200 && status < 300) {
         co_await commitTurn(backend);
     }
+    if (const auto rest = m_continuation ? m_continuation->takeRemainder() : std::string(); !rest.empty()) {
+        co_await m_response.sendChunk(rest);
+    }
     const auto isDelivered =
         m_response.hasStarted() ? co_await m_response.endStream() : co_await m_response.sendWhole(result.head, std::move(result.body));
     logEnd(isDelivered ? "answered" : "caller_left", status);
@@ -252,7 +273,7 @@
     switch (refusal) {
     case Refusal::RateLimited:
         // Retries are spread over time and do not precede those of requests that were rejected earlier.
-        return std::max(m_context.limiter.timeToNext(m_account, programPhase(), m_context.clock.now()), s_retryRateLimited) +
+        return std::max(m_context.limiter.timeToNext(m_account, m_phase, m_context.clock.now()), s_retryRateLimited) +
                Milliseconds(framework::hash64(m_request.id) % s_retrySpreadMilliseconds);
     case Refusal::NoConfiguration:
     case Refusal::StoreUnreachable:
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -12,6 +12,7 @@
 #include "serving/fleetstate.h"
 #include "serving/latencytracker.h"
 #include "serving/quarantine.h"
+#include "serving/streamcontinuation.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -37,6 +38,20 @@
     std::function<bool()> isIsolated;
 };
 
+/// Timer that ends an attempt without progress. Shared with its handler, which may run after the attempt has ended.
+struct AttemptWatch
+{
+    AttemptWatch(const framework::asio::any_io_executor& executor, framework::CancellationPtr attempt)
+        : timer(executor)
+        , cancellation(std::move(attempt))
+    {}
+
+    framework::asio::steady_timer timer;
+    framework::CancellationPtr cancellation;
+    bool isFinished = false;
+    bool isAbandoned = false;
+};
+
 /// Handles one request: admission, attempts at backend servers, and the response to the caller.
 class RequestHandler final : public IStreamHandler
 {
@@ -49,16 +64,27 @@
     auto onChunk(std::string_view bytes) -> framework::Async<bool> override;
 
 private:
+    auto forward(std::string_view bytes) -> framework::Async<bool>;
     auto admit() -> std::optional<Refusal>;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
-    auto programPhase() const -> accounts::ProgramPhase;
+    /// Determines whether the request starts a program.
+    auto determinePhase() -> framework::Async<void>;
+    /// Whether the request looks like the start of a program as far as this host knows.
+    auto mayStartProgram() const -> bool;
     auto prepareTurn() -> framework::Async<std::optional<Refusal>>;
+    auto prepareHistory() -> framework::Async<std::optional<Refusal>>;
+    auto reserveBudget() -> framework::Async<std::optional<Refusal>>;
     auto serve() -> framework::Async<std::optional<Refusal>>;
+    /// Ends a request that no server answered: a started response is aborted, otherwise the refusal is returned.
+    auto endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
     /// Key of the latency of a stream's first event. The latency between events has the route's name as key.
     auto firstEventLatencyKind() const -> std::string { return m_route->name + "/first"; }
+    auto watchProgress(std::shared_ptr<AttemptWatch> watch) -> void;
     auto overdueTimeout() const -> framework::Milliseconds;
+    auto stallTimeout() const -> framework::Milliseconds;
     auto canTryOtherServer() const -> bool;
+    auto slownessOf(const AttemptResult& result) -> double;
     auto recordOutcome(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
@@ -71,7 +97,7 @@
     auto refusalAfter(const std::optional<AttemptResult>& last) const -> Refusal;
     auto retryAfter(Refusal refusal) -> std::optional<framework::Milliseconds>;
     auto remainingTime() const -> framework::Milliseconds;
-    auto isTurn() const -> bool { return m_route != nullptr && m_route->keepsTurns; }
+    auto isTurn() const -> bool { return m_history.has_value(); }
     auto watchCaller() -> void;
     auto startDeadline() -> void;
     auto recordPhase(const char* phase, framework::Instant startedAt) -> void;
@@ -83,6 +109,8 @@
     routing::RouteTablePtr m_routes;
     const routing::Route* m_route = nullptr;
     const routing::ServiceSpec* m_service = nullptr;
+    std::optional<programs::TurnHistory> m_history; ///< nullopt if the request is not a turn of a program
+    accounts::ProgramPhase m_phase = accounts::ProgramPhase::InProgress;
     std::string m_account;
     bool m_isAdmitted = false;
     framework::Instant m_deadline{};
@@ -102,10 +130,14 @@
     std::uint64_t m_reservedTokens = 0;
     programs::TurnPtr m_turn; ///< null until the turn has ended
     EventScanner m_events;
+    std::optional<StreamContinuation> m_continuation; ///< of a stream that further runs may continue
+    bool m_isOverGrant = false;                       ///< the response was cut off because all granted tokens are used
+    int m_eventsBeforeAttempt = 0;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
     std::optional<backends::AwaitedAnswer> m_awaited; ///< of the current attempt, until the first data of its response arrives
     framework::Instant m_attemptStartedAt{};
+    framework::Instant m_progressDeadline{}; ///< an attempt without further data until then is overdue
     int m_attempts = 0;
     framework::Json m_attemptLog = framework::Json::array();
     framework::Json m_phases = framework::Json::object(); ///< duration of each phase, in milliseconds
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -23,12 +23,13 @@
 constexpr auto s_minOverdueTimeout = Milliseconds(250);
 constexpr auto s_defaultOverdueTimeout = Milliseconds(1'000);
 
-/// Shared with a timer's handler, which may run after the attempt has ended.
-struct OverdueState
-{
-    bool isFinished = false;
-    bool isAbandoned = false;
-};
+/// A stream's first event may be late by this factor of the latency objective before it counts as overdue.
+constexpr auto s_lateStartFactor = 3;
+
+/// Engines pause a stream for longer than its longest punctual interval while they read long prompts of others. Callers abandon
+/// a stream after two seconds or more.
+constexpr auto s_stallFactor = 4;
+constexpr auto s_minStallTimeout = Milliseconds(500);
 
 /// Outcome of an attempt that was abandoned because another server may answer sooner. The attempt may also have ended by itself
 /// at the same moment; its outcome is then unchanged.
@@ -51,25 +52,20 @@
     ++backend->running;
     const auto target = BackendTarget{.instance = backend->entry.id, .account = m_account, .remainingTime = remainingTime()};
     const auto startedAt = m_context.clock.now();
-    const auto timeout = overdueTimeout();
     m_attemptStartedAt = startedAt;
-    m_awaited.emplace(backend, startedAt + timeout);
+    m_eventsBeforeAttempt = m_events.events();
+    m_progressDeadline = startedAt + overdueTimeout();
+    m_awaited.emplace(backend, m_progressDeadline);
     const auto cancellation = std::make_shared<framework::Cancellation>();
     m_cancellation->onCancel([cancellation] { cancellation->cancel(); });
-    const auto overdueState = std::make_shared<OverdueState>();
-    auto timer = asio::steady_timer(m_context.executor, timeout);
-    timer.async_wait([this, overdueState, cancellation](const boost::system::error_code& error) {
-        if (!error && !overdueState->isFinished && canTryOtherServer()) {
-            overdueState->isAbandoned = true;
-            cancellation->cancel();
-        }
-    });
-    auto result = co_await m_context.backendClient.attempt(backend, m_request, target,
-                                                           m_route->kind == RequestKind::Stream ? this : nullptr, cancellation);
-    overdueState->isFinished = true;
-    timer.cancel();
+    const auto watch = std::make_shared<AttemptWatch>(m_context.executor, cancellation);
+    watchProgress(watch);
+    auto result = co_await m_context.backendClient.attempt(backend, m_request, target, routing::isStream(m_route->kind) ? this : nullptr,
+                                                           cancellation);
+    watch->isFinished = true;
+    watch->timer.cancel();
     m_awaited.reset();
-    if (overdueState->isAbandoned && !m_cancellation->cancelled()) {
+    if (watch->isAbandoned && !m_cancellation->cancelled()) {
         result.outcome = outcomeOfAbandoned(result.outcome);
     }
     --backend->running;
@@ -80,28 +76,62 @@
                                 result.outcome == AttemptOutcome::Misdirected || result.outcome == AttemptOutcome::CancelledUnsent;
     m_mayHaveRun = m_mayHaveRun || !isSurelyNotRun;
     const auto took = std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - startedAt);
-    m_attemptLog.push_back({{"server", backend->entry.id},
-                            {"end", framework::nameOf(s_attemptOutcomeNames, result.outcome)},
-                            {"status", result.head.result_int()},
-                            {"toHeadMs", result.toHead.count()},
-                            {"tookMs", took.count()},
-                            {"running", backend->running},
-                            {"elsewhere", backend->runningRemotely}});
+    auto entry = framework::Json{{"server", backend->entry.id},
+                                 {"end", framework::nameOf(s_attemptOutcomeNames, result.outcome)},
+                                 {"status", result.head.result_int()},
+                                 {"toHeadMs", result.toHead.count()},
+                                 {"tookMs", took.count()},
+                                 {"running", backend->running},
+                                 {"elsewhere", backend->runningRemotely}};
+    if (m_continuation && m_request.lastEventId) {
+        entry["after"] = *m_request.lastEventId;
+    }
+    if (m_continuation && m_continuation->fault()) {
+        entry["fault"] = framework::nameOf(s_continuationFaultNames, *m_continuation->fault());
+    }
+    m_attemptLog.push_back(std::move(entry));
     co_return result;
 }
 
+auto RequestHandler::watchProgress(std::shared_ptr<AttemptWatch> watch) -> void
+{
+    watch->timer.expires_at(std::chrono::steady_clock::time_point(m_progressDeadline.time_since_epoch()));
+    watch->timer.async_wait([this, watch](const boost::system::error_code& error) {
+        if (error || watch->isFinished) {
+            return;
+        }
+        const auto now = m_context.clock.now();
+        if (now >= m_progressDeadline && canTryOtherServer()) {
+            watch->isAbandoned = true;
+            watch->cancellation->cancel();
+            return;
+        }
+        if (now >= m_progressDeadline) {
+            m_progressDeadline = now + stallTimeout(); // Another server may be free by then.
+        }
+        watchProgress(watch);
+    });
+}
+
 auto RequestHandler::overdueTimeout() const -> Milliseconds
 {
-    const auto average = m_context.latencies.average(m_route->kind == RequestKind::Stream ? firstEventLatencyKind() : m_route->name);
+    const auto isStream = routing::isStream(m_route->kind);
+    const auto average = m_context.latencies.average(isStream ? firstEventLatencyKind() : m_route->name);
     if (!average) {
         return s_defaultOverdueTimeout;
     }
-    return std::max(s_minOverdueTimeout, Milliseconds(static_cast<std::int64_t>(*average * s_overdueFactor)));
+    const auto least = isStream ? std::max(s_minOverdueTimeout, m_route->latencyObjective * s_lateStartFactor) : s_minOverdueTimeout;
+    return std::max(least, Milliseconds(static_cast<std::int64_t>(*average * s_overdueFactor)));
+}
+
+auto RequestHandler::stallTimeout() const -> Milliseconds
+{
+    return std::max(s_minStallTimeout, m_route->maxEventInterval * s_stallFactor);
 }
 
 auto RequestHandler::canTryOtherServer() const -> bool
 {
-    if (m_route->kind != RequestKind::Repeatable || m_attempts + 1 >= m_route->maxAttempts) {
+    if (!routing::mayRunAgain(m_route->kind) || m_attempts + 1 >= m_route->maxAttempts) {
         return false;
     }
     // If all servers are overdue, another attempt would only increase their load.
@@ -109,6 +139,19 @@
     return scheduling::hasResponsiveServer(servers, m_requirements, m_context.clock.now());
 }
 
+auto RequestHandler::slownessOf(const AttemptResult& result) -> double
+{
+    if (!routing::isStream(m_route->kind)) {
+        return m_context.latencies.record(m_route->name, static_cast<double>(result.toHead.count()));
+    }
+    const auto events = m_events.events() - m_eventsBeforeAttempt;
+    if (events <= 1) {
+        return 0;
+    }
+    const auto span = std::chrono::duration<double, std::milli>(m_lastEventAt - m_firstEventAt).count();
+    return m_context.latencies.record(m_route->name, span / (events - 1));
+}
+
 auto RequestHandler::recordOutcome(const BackendPtr& backend, const AttemptResult& result) -> void
 {
     const auto now = m_context.clock.now();
@@ -120,15 +163,7 @@
     switch (result.outcome) {
     case AttemptOutcome::Answered: {
         const auto isFailure = result.head.result_int() >= 500;
-        const auto isStream = m_route->kind == RequestKind::Stream;
-        auto slowness = 0.0;
-        if (!isFailure && isStream && m_events.events() > 1) {
-            const auto span = std::chrono::duration<double, std::milli>(m_lastEventAt - m_firstEventAt).count();
-            slowness = m_context.latencies.record(m_route->name, span / (m_events.events() - 1));
-        } else if (!isFailure && !isStream) {
-            slowness = m_context.latencies.record(m_route->name, static_cast<double>(result.toHead.count()));
-        }
-        backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, slowness, now);
+        backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, isFailure ? 0 : slownessOf(result), now);
         m_context.quarantine.recordAnswer(fingerprint);
         return;
     }
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -9,48 +9,101 @@
 using backends::BackendPtr;
 using framework::Async;
 using programs::BudgetOutcome;
+using programs::TurnHistory;
 
 } // namespace
 
+auto RequestHandler::mayStartProgram() const -> bool
+{
+    const auto& turn = m_request.turn;
+    if (!isTurn()) {
+        return turn.program.empty();
+    }
+    if (*m_history == TurnHistory::KeptByHosts) {
+        return turn.previousTurn.empty();
+    }
+    // A chain with an id of its own belongs to a sub-agent, which a program in progress has started.
+    return (turn.line.empty() || turn.line == turn.program) && !m_context.budgets.hasProgram(programKey());
+}
+
+auto RequestHandler::determinePhase() -> Async<void>
+{
+    if (!mayStartProgram()) {
+        co_return;
+    }
+    m_phase = accounts::ProgramPhase::Starting;
+    if (m_history != TurnHistory::SentByCaller) {
+        co_return;
+    }
+    // The turn does not tell whether it is its program's first. Other hosts are asked only if the answer matters.
+    const auto now = m_context.clock.now();
+    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    const auto isLimited = !m_account.empty() && m_context.limiter.timeToNext(m_account, accounts::ProgramPhase::Starting, now).count() > 0;
+    if ((isLimited || scheduling::Admission::isSelective(servers, m_route->priority, now)) &&
+        co_await m_context.budgets.isInProgress(programKey())) {
+        m_phase = accounts::ProgramPhase::InProgress;
+    }
+    recordPhase("program", now);
+}
+
 auto RequestHandler::prepareTurn() -> Async<std::optional<Refusal>>
 {
     m_input = m_request.body;
-    const auto& turn = m_request.turn;
+    if (*m_history == TurnHistory::KeptByHosts) {
+        if (const auto refusal = co_await prepareHistory()) {
+            co_return refusal;
+        }
+    }
+    co_return co_await reserveBudget();
+}
+
+auto RequestHandler::prepareHistory() -> Async<std::optional<Refusal>>
+{
     if (m_context.journal.isFull()) {
         co_return Refusal::StoreUnreachable;
     }
+    const auto& turn = m_request.turn;
+    if (turn.previousTurn.empty()) {
+        co_return std::nullopt;
+    }
     const auto startedAt = m_context.clock.now();
-    if (!turn.previousTurn.empty()) {
-        const auto search = co_await m_context.journal.find(turn.previousTurn, programKey());
-        recordPhase("previousTurn", startedAt);
-        if (!search.turn) {
-            co_return search.isCertain ? Refusal::NoSuchTurn : Refusal::TurnUnknown;
-        }
-        if (search.turn->account != m_account) {
-            co_return Refusal::NoSuchTurn;
-        }
-        const auto chain = co_await m_context.journal.findAncestors(search.turn);
-        recordPhase("chain", startedAt);
-        if (!chain) {
-            co_return Refusal::TurnUnknown;
-        }
-        auto text = std::string();
-        for (const auto& ancestor : *chain) {
-            text += ancestor->input + ancestor->output;
-        }
-        text += search.turn->input + search.turn->output;
-        m_request.body = text + m_input;
-        m_ancestors = search.turn->ancestors;
-        m_ancestors.push_back(
-            {.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
-        m_requirements.lastBackend = search.turn->backend;
+    const auto search = co_await m_context.journal.find(turn.previousTurn, programKey());
+    recordPhase("previousTurn", startedAt);
+    if (!search.turn) {
+        co_return search.isCertain ? Refusal::NoSuchTurn : Refusal::TurnUnknown;
+    }
+    if (search.turn->account != m_account) {
+        co_return Refusal::NoSuchTurn;
+    }
+    const auto chain = co_await m_context.journal.findAncestors(search.turn);
+    recordPhase("chain", startedAt);
+    if (!chain) {
+        co_return Refusal::TurnUnknown;
+    }
+    auto text = std::string();
+    for (const auto& ancestor : *chain) {
+        text += ancestor->input + ancestor->output;
     }
+    text += search.turn->input + search.turn->output;
+    m_request.body = text + m_input;
+    m_ancestors = search.turn->ancestors;
+    m_ancestors.push_back(
+        {.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
+    m_requirements.lastBackend = search.turn->backend;
+    co_return std::nullopt;
+}
+
+auto RequestHandler::reserveBudget() -> Async<std::optional<Refusal>>
+{
+    const auto& turn = m_request.turn;
     if (!turn.hasBudget || turn.program.empty()) {
         co_return std::nullopt;
     }
-    const auto budgetStartedAt = m_context.clock.now();
-    const auto reservation = co_await m_context.budgets.reserve(programKey(), turn.budget, turn.maxTokens, turn.previousTurn.empty());
-    recordPhase("budget", budgetStartedAt);
+    const auto startedAt = m_context.clock.now();
+    const auto isFirstTurn = *m_history == TurnHistory::KeptByHosts && turn.previousTurn.empty();
+    const auto reservation = co_await m_context.budgets.reserve(
+        programKey(), {.budget = turn.budget, .maxTokens = turn.maxTokens, .isFirstTurn = isFirstTurn, .history = *m_history});
+    recordPhase("budget", startedAt);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         m_reservedTokens = reservation.tokens;
         co_return std::nullopt;
@@ -70,13 +123,21 @@
 
 auto RequestHandler::commitTurn(const BackendPtr& backend) -> Async<void>
 {
+    const auto isKept = *m_history == TurnHistory::KeptByHosts;
+    // Tokens that are not yet in the program's row are replicated with the turn that used them.
+    if (!isKept && m_context.budgets.unrecordedTokens(programKey()) == 0) {
+        settleBudget();
+        co_return;
+    }
     auto turn = std::make_shared<programs::Turn>();
     turn->id = m_request.id;
     turn->account = m_account;
     turn->program = m_request.turn.program;
-    turn->ancestors = m_ancestors;
-    turn->input = m_input;
-    turn->output = m_events.data();
+    if (isKept) {
+        turn->ancestors = m_ancestors;
+        turn->input = m_input;
+        turn->output = m_events.data();
+    }
     turn->tokens = static_cast<int>(static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent());
     turn->backend = backend->entry.id;
     const auto startedAt = m_context.clock.now();
@@ -105,19 +166,37 @@
 
 auto RequestHandler::onHead(const http::response_header<>& head) -> Async<bool>
 {
+    if (m_response.hasStarted()) {
+        co_return true; // This run continues the response; the caller has the header of the first one.
+    }
     co_return co_await m_response.beginStream(head);
 }
 
 auto RequestHandler::onChunk(std::string_view bytes) -> Async<bool>
+{
+    const auto now = m_context.clock.now();
+    m_progressDeadline = now + stallTimeout();
+    m_awaited.reset();
+    if (!m_continuation) {
+        co_return co_await forward(bytes);
+    }
+    const auto events = m_continuation->feed(bytes);
+    if (!events.empty() && !co_await forward(events)) {
+        co_return false;
+    }
+    co_return !m_continuation->fault();
+}
+
+auto RequestHandler::forward(std::string_view bytes) -> Async<bool>
 {
     m_events.feed(bytes);
     const auto tokens = static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent();
     if (m_reservedTokens > 0 && m_reservedTokens < m_request.turn.maxTokens && tokens > m_reservedTokens) {
+        m_isOverGrant = true;
         co_return false; // The tokens granted while the store is unreachable are used up.
     }
-    m_awaited.reset();
     m_lastEventAt = m_context.clock.now();
-    if (m_firstEventAt == framework::Instant{}) {
+    if (m_firstEventAt < m_attemptStartedAt) {
         m_firstEventAt = m_lastEventAt;
         const auto wait = std::chrono::duration<double, std::milli>(m_firstEventAt - m_attemptStartedAt).count();
         m_context.latencies.record(firstEventLatencyKind(), wait);
--- a/src/serving/servingerrors.cpp
+++ b/src/serving/servingerrors.cpp
@@ -7,6 +7,7 @@
     switch (refusal) {
     case Refusal::BadRequest:
     case Refusal::NoRequestId:
+    case Refusal::NotResumable:
         return 400;
     case Refusal::UnknownKey:
         return 401;
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -27,12 +27,13 @@
     TimedOut,         ///< it may have run, but did not complete before the deadline
     TimedOutUnsent,   ///< not run before the deadline
     BadRequest,
+    NotResumable, ///< it asks to continue a stream on a route whose streams cannot be continued
 };
 
 /// HTTP status of the response to `refusal`. 429, 402, 404 and 503 mean that the request was not run.
 auto statusOf(Refusal refusal) -> unsigned;
 
-inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 20>{{
+inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 21>{{
     {Refusal::NoConfiguration, "no_configuration"},
     {Refusal::UnknownRoute, "unknown_route"},
     {Refusal::UnknownKey, "unknown_key"},
@@ -53,6 +54,7 @@
     {Refusal::TimedOut, "timed_out"},
     {Refusal::TimedOutUnsent, "timed_out_unsent"},
     {Refusal::BadRequest, "bad_request"},
+    {Refusal::NotResumable, "not_resumable"},
 }};
 
 } // namespace laburnummill::serving
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -85,40 +85,53 @@
         co_return false;
     }
     if (m_fault == EngineFault::Hang) {
-        auto byte = std::array<char, 1>();
-        auto error = boost::system::error_code();
-        co_await socket.async_read_some(asio::buffer(byte), asio::redirect_error(asio::use_awaitable, error));
-        ++m_leftEarly;
+        co_await waitUntilClosed(socket);
         co_return false;
     }
     if (m_fault == EngineFault::Stray) {
         co_await write(socket, whole("another", 200, "Response-Signature: other\r\n", "not yours"));
     }
-    if (std::string_view(request.target()).starts_with("/turns/")) {
-        co_return co_await stream(socket, id, m_script.events(request));
+    const auto target = std::string_view(request.target());
+    if (target.starts_with("/turns/") || target.starts_with("/drafts/")) {
+        co_return co_await stream(socket, request);
     }
     co_await pause();
     const auto* signature = m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n";
     co_return co_await write(socket, whole(id, 200, signature, m_script.body(request)));
 }
 
-auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const std::string& id, const std::vector<std::string>& events)
-    -> asio::awaitable<bool>
+auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>
 {
-    co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+    const auto events = m_script.events(request);
+    const auto lastEvent = std::string(request["Last-Event-Id"]);
+    co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"]) +
                                "\r\nResponse-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (auto number = std::size_t{1}; number <= events.size(); ++number) {
+    for (auto number = lastEvent.empty() ? std::size_t{1} : std::stoul(lastEvent) + 1; number <= events.size(); ++number) {
         co_await pause();
         const auto isLast = number == events.size();
-        if (isLast && m_fault == EngineFault::BreakOff) {
+        const auto event = "id: " + std::to_string(number) + "\ndata: " + events[number - 1] + "\n\n";
+        if (isLast && m_fault == EngineFault::BreakInside) {
+            co_await write(socket, chunk(event.substr(0, event.size() - 2)));
+        }
+        if (isLast && m_fault == EngineFault::Stall) {
+            co_await waitUntilClosed(socket);
+        }
+        if (isLast && (m_fault == EngineFault::BreakOff || m_fault == EngineFault::BreakInside || m_fault == EngineFault::Stall)) {
             co_return false;
         }
-        const auto event = "id: " + std::to_string(number) + "\ndata: " + events[number - 1] + "\n\n";
-        if (!co_await write(socket, chunk(event) + (isLast ? "0\r\n\r\n" : ""))) {
+        if (!co_await write(socket, chunk(event))) {
             co_return false;
         }
     }
-    co_return true;
+    co_return co_await write(socket, "0\r\n\r\n");
+}
+
+auto EngineStandIn::waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>
+{
+    auto byte = std::array<char, 1>();
+    auto error = boost::system::error_code();
+    co_await socket.async_read_some(asio::buffer(byte), asio::redirect_error(asio::use_awaitable, error));
+    ++m_leftEarly;
 }
 
 auto EngineStandIn::pause() -> asio::awaitable<void>
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -23,6 +23,8 @@
     Garbage,     ///< bytes that are no answer
     Stray,       ///< another request's answer stands before the right one
     BreakOff,    ///< the stream ends in its middle
+    BreakInside, ///< the stream ends in the middle of its last event
+    Stall,       ///< the stream stops before its last event, its connection stays open
     Unsigned,    ///< a success without a signature
     Hang,        ///< no answer
 };
@@ -56,7 +58,8 @@
     }
 };
 
-/// A backend server by the platform's published protocol: streams events to POST below /turns/, answers the rest whole.
+/// A backend server by the platform's published protocol: streams events to POST below /turns/ and /drafts/, after the event that
+/// the request names as its last one, and answers the rest whole.
 class EngineStandIn
 {
 public:
@@ -80,7 +83,8 @@
     auto accept() -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
-    auto stream(asio::ip::tcp::socket& socket, const std::string& id, const std::vector<std::string>& events) -> asio::awaitable<bool>;
+    auto stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>;
     auto pause() -> asio::awaitable<void>;
     auto write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>;
 
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -84,6 +84,8 @@
     return fmt::format(R"({{"version":{},"routes":[
         {{"name":"turns","hostname":"h.example","prefix":"/turns/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,
           "service":"engines","max_attempts":2,"retain":true,"retention_s":60}},
+        {{"name":"drafts","hostname":"h.example","prefix":"/drafts/","kind":"stream","timeout_ms":3000,"target_latency_ms":200,
+          "service":"engines","max_attempts":2,"resumable":true,"target_gap_ms":100}},
         {{"name":"look","hostname":"h.example","prefix":"/look/","kind":"safe","timeout_ms":1000,"service":"engines","max_attempts":2}},
         {{"name":"pay","hostname":"h.example","prefix":"/pay/","kind":"unsafe","timeout_ms":1000,"service":"engines","max_attempts":2}}],
         "services":[{{"name":"engines","health_path":"/health","engine":{{"slots":4,"tokens_per_event":10}}}}],
@@ -134,8 +136,9 @@
                                           asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
             auto buffer = boost::beast::flat_buffer();
-            auto response = http::response<http::string_body>();
-            co_await http::async_read(socket, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+            auto parser = http::response_parser<http::string_body>();
+            co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            const auto& response = parser.get();
             *got = Got{.status = response.result_int(),
                        .body = response.body(),
                        .retryAfter = std::string(response["Retry-After"]),
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -46,7 +46,8 @@
     /// Sends a request and leaves without waiting for the answer.
     auto askAndLeave(std::size_t host, const Ask& request) -> void;
 
-    /// The operator's configuration: one route of turns, one of calls that may repeat, one of calls that may not.
+    /// The operator's configuration: one route of turns, one of turns whose history callers send and whose
+    /// streams may be resumed, one of calls that may repeat, one of calls that may not.
     static auto configuration(int version, double rate) -> std::string;
 
     auto putEngine(const std::string& id, const std::string& address, const std::string& state) -> void;
