A stopping host answers a request that arrives as it closes idle connections

The bytes of its head had already left the socket when the stop poll looked, so that the connection was shut down, and the request went on to a server with nobody to answer to.

Change: a request counts from its first byte on, and a host stops only once each connection is closed.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -68,27 +68,38 @@
 {
     const auto self = shared_from_this();
     while (m_keepAlive && !m_isBroken && m_socket.is_open()) {
-        auto request = co_await readRequest();
-        if (!request) {
+        if (!co_await waitForInput()) {
             break;
         }
+        // The request counts from its first byte on. Otherwise a stopping host would close the connection while it is read.
         m_isBusy = true;
         ++m_context.openRequests;
-        co_await handle(std::move(*request));
+        auto request = co_await readRequest();
+        if (request) {
+            co_await handle(std::move(*request));
+        }
         --m_context.openRequests;
         m_isBusy = false;
+        if (!request) {
+            break;
+        }
         m_keepAlive = m_keepAlive && !m_context.isStopping;
     }
     close();
 }
 
-auto CallerConnection::closeIfIdle() -> void
+auto CallerConnection::closeIfIdle() -> bool
 {
-    if (!m_isBusy && m_buffer.size() == 0 && m_socket.is_open() && !hasPendingBytes(m_socket.native_handle())) {
-        auto ignored = boost::system::error_code();
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        m_socket.cancel(ignored);
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    if (m_isBusy || m_buffer.size() > 0 || hasPendingBytes(m_socket.native_handle())) {
+        return false;
     }
+    auto ignored = boost::system::error_code();
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.cancel(ignored);
+    return true;
 }
 
 auto CallerConnection::limits() const -> routing::CallerLimits
@@ -117,23 +128,26 @@
     co_return error;
 }
 
+auto CallerConnection::waitForInput() -> Async<bool>
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    m_timer.expires_after(limits().idleTimeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        if (const auto self = weak.lock(); !error && self) {
+            self->closeIfIdle();
+        }
+    });
+    auto error = boost::system::error_code();
+    co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    m_timer.cancel();
+    co_return !error && !isClosedByPeer(m_socket.native_handle());
+}
+
 auto CallerConnection::readRequest() -> Async<std::optional<CallerRequest>>
 {
     const auto limits = this->limits();
-    if (m_buffer.size() == 0) {
-        m_timer.expires_after(limits.idleTimeout);
-        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
-            if (const auto self = weak.lock(); !error && self) {
-                self->closeIfIdle();
-            }
-        });
-        auto error = boost::system::error_code();
-        co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        m_timer.cancel();
-        if (error || isClosedByPeer(m_socket.native_handle())) {
-            co_return std::nullopt;
-        }
-    }
     auto parser = Parser();
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -30,8 +30,8 @@
 
     auto run() -> framework::Async<void>;
 
-    /// Closes the connection unless a request is in progress or partly read.
-    auto closeIfIdle() -> void;
+    /// Closes the connection unless a request is in progress or has arrived. Returns whether the connection is closed.
+    auto closeIfIdle() -> bool;
 
     auto sendRefusal(Refusal refusal, std::optional<framework::Milliseconds> retryAfter) -> framework::Async<void> override;
     auto sendWhole(const http::response_header<>& head, std::string body) -> framework::Async<bool> override;
@@ -45,6 +45,8 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    /// Waits for the first byte of a request; returns false if the connection is closed or idle for too long.
+    auto waitForInput() -> framework::Async<bool>;
     auto readRequest() -> framework::Async<std::optional<CallerRequest>>;
     auto readWithin(Parser& parser, bool isHeader, framework::Milliseconds timeout) -> framework::Async<boost::system::error_code>;
     auto refuseUnreadable(const boost::system::error_code& error) -> framework::Async<void>;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -248,10 +248,7 @@
     auto timer = asio::steady_timer(m_context);
     m_link.announceLeave();
     while (m_clock.now() < end) {
-        const auto isDrained = m_clock.now() >= startedAt + s_drainTime;
-        if (isDrained) {
-            closeIdleCallers();
-        }
+        const auto isDrained = m_clock.now() >= startedAt + s_drainTime && closeIdleCallers();
         if (isDrained && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
             break;
         }
@@ -269,13 +266,14 @@
     return !m_isStopping && m_fleetState.isComplete() && !m_link.isIsolated();
 }
 
-auto EntryHost::closeIdleCallers() -> void
+auto EntryHost::closeIdleCallers() -> bool
 {
+    auto areAllClosed = true;
     for (const auto& weak : m_callers) {
-        if (const auto caller = weak.lock()) {
-            caller->closeIfIdle();
-        }
+        const auto caller = weak.lock();
+        areAllClosed = (!caller || caller->closeIfIdle()) && areAllClosed;
     }
+    return areAllClosed;
 }
 
 auto EntryHost::setGauges() const -> void
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -52,7 +52,8 @@
     auto announce() -> framework::Async<void>;
     auto drainAndStop() -> framework::Async<void>;
     auto applyLimits() -> void;
-    auto closeIdleCallers() -> void;
+    /// Returns whether all callers' connections are closed.
+    auto closeIdleCallers() -> bool;
     auto statusResponse(std::string_view path) const -> StatusResponse;
     auto setGauges() const -> void;
     auto logMetrics() const -> void;
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -124,6 +124,11 @@
     return m_hosts[host]->host->isReady();
 }
 
+auto EntryFleet::callerEndpoint(std::size_t host) const -> asio::ip::tcp::endpoint
+{
+    return peers::parseEndpoint(m_hosts[host]->settings.callerAddress).value();
+}
+
 auto EntryFleet::ask(std::size_t host, const Ask& request) -> Got
 {
     auto got = std::make_shared<std::optional<Got>>();
@@ -132,7 +137,7 @@
         [this, host, text = requestText(request), got]() -> asio::awaitable<void> {
             auto socket = asio::ip::tcp::socket(m_context);
             auto error = boost::system::error_code();
-            co_await socket.async_connect(peers::parseEndpoint(m_hosts[host]->settings.callerAddress).value(),
+            co_await socket.async_connect(callerEndpoint(host),
                                           asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
             auto buffer = boost::beast::flat_buffer();
@@ -158,7 +163,7 @@
         [this, host, bytes, answer, isDone]() -> asio::awaitable<void> {
             auto socket = asio::ip::tcp::socket(m_context);
             auto error = boost::system::error_code();
-            co_await socket.async_connect(peers::parseEndpoint(m_hosts[host]->settings.callerAddress).value(),
+            co_await socket.async_connect(callerEndpoint(host),
                                           asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
             auto piece = std::array<char, 4'096>();
@@ -180,7 +185,7 @@
         [this, host, text = requestText(request)]() -> asio::awaitable<void> {
             auto socket = asio::ip::tcp::socket(m_context);
             auto error = boost::system::error_code();
-            co_await socket.async_connect(peers::parseEndpoint(m_hosts[host]->settings.callerAddress).value(),
+            co_await socket.async_connect(callerEndpoint(host),
                                           asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
             auto pause = asio::steady_timer(m_context, Milliseconds(100));
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -37,6 +37,9 @@
 
     auto isReady(std::size_t host) -> bool;
 
+    /// Where callers connect to a host.
+    auto callerEndpoint(std::size_t host) const -> asio::ip::tcp::endpoint;
+
     /// Sends a request on a connection of its own and waits for its end.
     auto ask(std::size_t host, const Ask& request) -> Got;
 
