Placement by what is not reported yet, failure shares averaged over hosts, programs that start in an outage

Failure shares of all hosts were added up. With twelve hosts, an engine that lost 3 in 100 of its answers looked as if it failed each third request, so that all hosts left it and filled the others. Each host placed turns by the same reports, up to a heartbeat old, so that all chose the same engine at once (29 requests on 12 slots beside engines with 7). While the store was away, no program whose history its caller sends could start once three hosts had restarted within the last minute: 628 of 960 turns refused in one outage. Only restarts since the outage began count, as grants before it are in the rows; turns on unrecorded tokens are replicated with their tokens.

--- a/src/backends/backendhealth.cpp
+++ b/src/backends/backendhealth.cpp
@@ -23,6 +23,9 @@
 /// Consecutive failures that indicate a crash rather than isolated errors.
 constexpr auto s_consecutiveFailureLimit = 3;
 
+/// Up to this share, which one failure among ten requests exceeds by chance, this host's own observation counts only as one of many.
+constexpr auto s_isolatedFailureShare = 0.15;
+
 /// Half-life of the failure share. A server fails for some seconds; a few requests then show whether it has recovered.
 constexpr auto s_failureHalfLife = Milliseconds(2'000);
 
@@ -36,15 +39,13 @@
     return m_failureShare == 0 ? 0 : m_failureShare * std::exp2(-halfLives);
 }
 
-auto BackendHealth::setRemoteReports(double failureShares, int overdue) -> void
-{
-    m_remoteFailureShares = failureShares;
-    m_remoteOverdue = overdue;
-}
-
 auto BackendHealth::combinedFailureShare(Instant now) const -> double
 {
-    return std::min(1.0, failureShare(now) + m_remoteFailureShares);
+    const auto own = failureShare(now);
+    const auto isUsedHere = now < m_failureShareAt + s_failureHalfLife;
+    const auto hosts = m_remote.hosts + (isUsedHere ? 1 : 0);
+    const auto mean = hosts == 0 ? own : (own + m_remote.failureShares) / hosts;
+    return own > s_isolatedFailureShare ? std::max(own, mean) : mean;
 }
 
 auto BackendHealth::record(ServerOutcome outcome, double slowness, Instant now) -> void
--- a/src/backends/backendhealth.h
+++ b/src/backends/backendhealth.h
@@ -14,6 +14,14 @@
     TimedOut,    ///< no response in time
 };
 
+/// What other hosts report about a backend server.
+struct RemoteHealth
+{
+    double failureShares = 0; ///< fractions of their recent requests that failed, summed over the hosts
+    int hosts = 0;            ///< that have requests there or report failures
+    int overdue = 0;          ///< requests without a response for unusually long
+};
+
 /// Health of one backend server, derived from the outcomes of requests. Health checks are not sufficient, because they can
 /// succeed on a server that fails requests.
 class BackendHealth
@@ -29,12 +37,11 @@
     /// Fraction of this host's recent requests that failed, 0 to 1. Decays over time, so that a recovered server is used again.
     auto failureShare(framework::Instant now) const -> double;
 
-    /// Sets what other hosts report: the sum of their failure shares and the number of their overdue requests.
-    auto setRemoteReports(double failureShares, int overdue) -> void;
+    auto setRemoteReports(const RemoteHealth& reports) -> void { m_remote = reports; }
 
-    /// Sum of the failure shares of this host and of the other hosts, limited to 1.
+    /// Fraction of recent requests that failed: on this host or, if that is higher, on average over the hosts that use the server.
     auto combinedFailureShare(framework::Instant now) const -> double;
-    auto remoteOverdue() const -> int { return m_remoteOverdue; }
+    auto remoteOverdue() const -> int { return m_remote.overdue; }
 
     /// Average ratio of request durations on this server to those on other servers; 1 is usual.
     auto slowness() const -> double { return m_slowness; }
@@ -42,8 +49,7 @@
 private:
     double m_failureShare = 0;
     framework::Instant m_failureShareAt{};
-    double m_remoteFailureShares = 0;
-    int m_remoteOverdue = 0;
+    RemoteHealth m_remote;
     double m_slowness = 1;
     int m_consecutiveFailures = 0;
     framework::Instant m_avoidedUntil{};
--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -38,6 +38,10 @@
     /// they may be lost: as many hosts have restarted recently as hold copies of a turn while the store is unavailable.
     virtual auto mayHaveUnknownTurns() const -> bool = 0;
 
+    /// Whether tokens granted during the current store outage may be recorded on no reachable host: as many hosts have restarted
+    /// since it began as hold the record of a grant.
+    virtual auto mayHaveLostGrants() const -> bool = 0;
+
     /// Whether within the last few seconds a host was unreachable, could not reach the store, or held turns not yet written to the
     /// store. Tokens may then have been granted that are not yet recorded in a row.
     virtual auto wasStoreImpairedRecently() const -> bool = 0;
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -82,6 +82,7 @@
     auto update = HeartbeatUpdate{.isStale = false, .isFirst = !isSameStart, .admitted = {}};
     if (!isSameStart) {
         peer.admitted.clear();
+        peer.incarnationSince = now;
     }
     update.admitted = updateAdmitted(peer.admitted, heartbeat);
     peer.last = heartbeat;
@@ -151,6 +152,13 @@
         peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->last.started_at() > since; }));
 }
 
+auto PeerTable::countRestartsHeardSince(Instant since, Instant now) const -> int
+{
+    const auto peers = reachablePeers(now);
+    return static_cast<int>(std::ranges::count_if(
+        peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->incarnationSince >= since; }));
+}
+
 auto PeerTable::removedAddresses() const -> std::vector<std::string>
 {
     auto found = std::vector<std::string>();
@@ -225,6 +233,7 @@
         for (const auto& use : peer->last.backends()) {
             auto& backend = found[use.backend()];
             backend.running += static_cast<int>(use.running());
+            ++backend.hosts;
             backend.overdue += static_cast<int>(use.overdue());
             backend.failureShares += use.failure_permille() / s_permille;
         }
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -19,6 +19,7 @@
     messages::Heartbeat last;                      ///< empty if none was received yet
     std::map<std::string, std::uint64_t> admitted; ///< requests admitted since its current start, by client account
     framework::Instant knownSince{};
+    framework::Instant incarnationSince{}; ///< first heartbeat of its current incarnation
     framework::Instant lastHeartbeatAt{}; ///< the epoch if no heartbeat was received yet
 };
 
@@ -45,7 +46,8 @@
 {
     int running = 0;          ///< requests under way
     int overdue = 0;          ///< number of these requests without a response for unusually long
-    double failureShares = 0; ///< fractions of failed requests, summed over the hosts
+    int hosts = 0;            ///< that report the server
+    double failureShares = 0; ///< fractions of failed requests, summed over these hosts
 };
 
 /// Destinations of one heartbeat.
@@ -105,6 +107,9 @@
     /// Number of reachable hosts that were restarted after `since` (Unix milliseconds) and thus lost their state in memory.
     auto countRestartedSince(std::uint64_t since, framework::Instant now) const -> int;
 
+    /// Number of reachable hosts whose current incarnation, not their first one, was first heard after `since`.
+    auto countRestartsHeardSince(framework::Instant since, framework::Instant now) const -> int;
+
     /// Addresses of removed hosts. Heartbeats are sent there occasionally: after a long network partition both sides have
     /// removed each other.
     auto removedAddresses() const -> std::vector<std::string>;
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -110,7 +110,7 @@
         co_return Reservation{.outcome = outcome, .tokens = 0};
     }
     program->holding.reserve(response.value().granted());
-    co_return Reservation{.outcome = outcome, .tokens = response.value().granted()};
+    co_return Reservation{.outcome = outcome, .tokens = response.value().granted(), .isRecorded = !response.value().is_grant_unrecorded()};
 }
 
 auto BudgetLedger::reserveForPeer(ProgramKey key, TokenDemand demand) -> Async<Reservation>
@@ -444,8 +444,9 @@
     if (demand.history == TurnHistory::KeptByHosts) {
         return demand.isFirstTurn;
     }
-    // Hosts that ran earlier turns know the program, unless they have lost their memory since.
-    return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveUnknownTurns();
+    // Hosts that ran earlier turns know the program, unless they have lost their memory since. Its row then contains what they
+    // used, and one turn's tokens may be granted without it, but only once.
+    return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveLostGrants();
 }
 
 auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
@@ -471,7 +472,7 @@
     framework::logEvent(
         framework::LogLevel::Warning, "programs", "tokens_lent",
         {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.unrecordedTokens}, {"isFirstTurn", demand.isFirstTurn}});
-    return {.outcome = BudgetOutcome::Reserved, .tokens = tokens};
+    return {.outcome = BudgetOutcome::Reserved, .tokens = tokens, .isRecorded = false};
 }
 
 } // namespace laburnummill::programs
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -25,6 +25,7 @@
 {
     BudgetOutcome outcome = BudgetOutcome::Undetermined;
     std::uint64_t tokens = 0;
+    bool isRecorded = true; ///< the program's row contains the tokens
 };
 
 /// Enforces the token budgets of programs across all hosts. A host records a grant in the program's row in the store before it
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/backendchoice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace laburnummill::scheduling {
@@ -48,6 +49,10 @@
 /// A token bucket that was not used for this time is initialised again, because the server is in a new cold start.
 constexpr auto s_coldResetInterval = Milliseconds(2'000);
 
+/// Starts count as unreported for this many report intervals: reports are up to one interval old when they arrive, and a reported
+/// request ends after another one on average.
+constexpr auto s_unreportedIntervals = 2;
+
 /// Number of prompt parts tracked for each engine; deployed engines cache fewer.
 constexpr auto s_maxTrackedParts = std::size_t{1'000};
 
@@ -96,6 +101,36 @@
     m_buckets[server].tokens -= 1;
 }
 
+auto RecentStarts::Count::at(Instant now) const -> double
+{
+    return value * std::exp(-std::chrono::duration<double>(now - updatedAt) / std::chrono::duration<double>(decayTime));
+}
+
+auto RecentStarts::Count::add(Milliseconds newDecayTime, Instant now) -> void
+{
+    value = at(now) + 1;
+    decayTime = newDecayTime;
+    updatedAt = now;
+}
+
+auto RecentStarts::add(std::uint64_t server, Milliseconds reportInterval, Instant now) -> void
+{
+    const auto decayTime = std::max(reportInterval * s_unreportedIntervals, Milliseconds(1));
+    m_byServer[server].add(decayTime, now);
+    m_all.add(decayTime, now);
+}
+
+auto RecentStarts::unreportedExcess(std::uint64_t server, std::size_t servers, int hosts, Instant now) const -> double
+{
+    const auto found = m_byServer.find(server);
+    const auto here = found == m_byServer.end() ? 0.0 : found->second.at(now);
+    const auto all = m_all.at(now);
+    // Laplace's estimate of the share of the starts that go to the server.
+    const auto count = static_cast<double>(servers);
+    const auto share = (here + 1) / (all + count);
+    return (hosts - 1) * all * (share - 1 / count);
+}
+
 auto hasResponsiveServer(const std::vector<BackendPtr>& servers, const BackendRequirements& requirements, Instant now) -> bool
 {
     return std::ranges::any_of(servers, [&](const BackendPtr& server) {
@@ -122,7 +157,8 @@
         if (isLimited && !m_coldStartLimiter.hasToken(server->number, settings.coldRequestsPerSecond, settings.hosts, now)) {
             continue;
         }
-        const auto serverCost = cost(*server, requirements, settings, now);
+        const auto unreported = m_recentStarts.unreportedExcess(server->number, servers.size(), settings.hosts, now);
+        const auto serverCost = cost(*server, requirements, settings, unreported, now);
         if (serverCost < bestCost) {
             bestCost = serverCost;
             best = server;
@@ -135,21 +171,22 @@
     -> void
 {
     m_promptCaches.recordPrompt(server->number, requirements.prompt);
+    m_recentStarts.add(server->number, settings.reportInterval, now);
     if (server->isCold(now) && settings.coldRequestsPerSecond > 0) {
         m_coldStartLimiter.take(server->number);
     }
 }
 
-auto BackendChoice::cost(const Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings, Instant now) const
-    -> double
+auto BackendChoice::cost(const Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings, double unreported,
+                         Instant now) const -> double
 {
     const auto slots = std::max(server.entry.slots, 1);
-    const auto inFlight = server.running + server.runningRemotely;
+    const auto inFlight = std::max(0.0, server.running + server.runningRemotely + unreported);
     const auto reported = now < server.reportedAt + s_reportLifetime ? server.reportedWaiting : 0;
-    const auto waiting = std::max({0, inFlight + 1 - slots, reported});
+    const auto waiting = std::max({0.0, inFlight + 1 - slots, static_cast<double>(reported)});
     const auto slowness = std::max(server.health.slowness(), 0.5);
     auto total = slowness * (s_serviceMilliseconds + s_serviceMilliseconds * waiting / slots +
-                             s_perRunningRequestMilliseconds * std::min(inFlight, slots));
+                             s_perRunningRequestMilliseconds * std::min(inFlight, static_cast<double>(slots)));
     auto uncachedTokens = m_promptCaches.missingTokens(server.number, requirements.prompt);
     if (!requirements.lastBackend.empty() && server.entry.id == requirements.lastBackend) {
         // This engine ran the previous turn, so it has cached all parts except the newest, even if another host sent that turn.
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -75,12 +75,41 @@
     std::unordered_map<std::uint64_t, Bucket> m_buckets;
 };
 
+/// Requests that this host has started recently on each server. The other hosts choose by the same reports and probably alike, but
+/// what they start is reported only later.
+class RecentStarts
+{
+public:
+    /// Until they are reported, starts count for about `reportInterval`.
+    auto add(std::uint64_t server, framework::Milliseconds reportInterval, framework::Instant now) -> void;
+
+    /// By how many requests the unreported starts of the other hosts on `server` probably exceed those on an average one of
+    /// `servers`; negative if they are fewer.
+    auto unreportedExcess(std::uint64_t server, std::size_t servers, int hosts, framework::Instant now) const -> double;
+
+private:
+    /// Decays exponentially.
+    struct Count
+    {
+        auto at(framework::Instant now) const -> double;
+        auto add(framework::Milliseconds decayTime, framework::Instant now) -> void;
+
+        double value = 0;
+        framework::Milliseconds decayTime{1};
+        framework::Instant updatedAt{};
+    };
+
+    std::unordered_map<std::uint64_t, Count> m_byServer;
+    Count m_all;
+};
+
 /// Parameters of the choice that do not depend on the request.
 struct ChoiceSettings
 {
     std::string ownDataCentre;
     double coldRequestsPerSecond = 0; ///< limit of the service for each cold server; 0 means no limit
     int hosts = 1;
+    framework::Milliseconds reportInterval{200}; ///< at which hosts report their running requests to each other
 };
 
 /// Whether there is an untried server that is not avoided and has no overdue requests of any host. Such a server can handle the
@@ -106,11 +135,12 @@
                  framework::Instant now) -> void;
 
 private:
-    auto cost(const backends::Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings,
+    auto cost(const backends::Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings, double unreported,
               framework::Instant now) const -> double;
 
     PromptCacheTracker m_promptCaches;
     ColdStartLimiter m_coldStartLimiter;
+    RecentStarts m_recentStarts;
     std::uint64_t m_rotation = 0;
 };
 
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -214,7 +214,7 @@
         const auto found = reported.find(peers::backendHash(id));
         const auto remote = found == reported.end() ? peers::RemoteBackendLoad() : found->second;
         backend->runningRemotely = remote.running;
-        backend->health.setRemoteReports(remote.failureShares, remote.overdue);
+        backend->health.setRemoteReports({.failureShares = remote.failureShares, .hosts = remote.hosts, .overdue = remote.overdue});
     }
 }
 
@@ -374,6 +374,15 @@
     return !m_suspects.empty() || m_table.isAnyHostUnaccountedFor(now) || restarted >= s_turnHolders;
 }
 
+auto FleetLink::mayHaveLostGrants() const -> bool
+{
+    const auto now = m_clock.now();
+    if (!m_settings.isFirstStart && !m_state.store->directWay().hasAnswered()) {
+        return mayHaveUnknownTurns(); // This host started during the outage and has not heard of earlier restarts.
+    }
+    return m_table.countRestartsHeardSince(m_storeOutageSince, now) >= s_turnHolders;
+}
+
 auto FleetLink::wasStoreImpairedRecently() const -> bool
 {
     return m_storeImpairedAt != framework::Instant{} && m_clock.now() < m_storeImpairedAt + s_storeImpairedRetention;
@@ -387,6 +396,9 @@
     if (isImpaired) {
         m_storeImpairedAt = m_clock.now();
     }
+    if (m_state.store->directWay().isSound()) {
+        m_storeOutageSince = m_clock.now();
+    }
 }
 
 auto FleetLink::hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -61,6 +61,7 @@
     auto storeProxies() const -> std::vector<std::string> override;
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override;
+    auto mayHaveLostGrants() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
@@ -111,6 +112,7 @@
     /// Time of the last failed call, by address, of hosts from which no heartbeat has been received since.
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
     framework::Instant m_storeImpairedAt{};
+    framework::Instant m_storeOutageSince{}; ///< last time at which the direct way to the store worked
     bool m_isReady = false;
     bool m_isLeaving = false;
     bool m_isStopped = false;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -66,6 +66,7 @@
         const auto reservation = co_await m_state.budgets->reserveForPeer(
             key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
         response.set_granted(reservation.tokens);
+        response.set_is_grant_unrecorded(!reservation.isRecorded);
         response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
     } else {
         response.set_granted(m_state.budgets->transferTokens(key, query.tokens()));
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/digest.h"
 #include "framework/logging/log.h"
+#include "peers/heartbeatschedule.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -211,8 +212,11 @@
 auto RequestHandler::chooseBackend() -> BackendPtr
 {
     const auto servers = m_context.fleetState.backends().available(m_service->name);
-    const auto settings = scheduling::ChoiceSettings{
-        .ownDataCentre = m_context.dataCentre, .coldRequestsPerSecond = m_service->coldRequestsPerSecond, .hosts = m_context.fleetSize()};
+    const auto hosts = m_context.fleetSize();
+    const auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_context.dataCentre,
+                                                     .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
+                                                     .hosts = hosts,
+                                                     .reportInterval = peers::heartbeatInterval(hosts)};
     const auto now = m_context.clock.now();
     auto backend = m_context.choice.choose(servers, m_requirements, settings, now);
     if (backend) {
@@ -341,6 +345,9 @@
     }
     if (!m_request.turn.program.empty()) {
         fields["program"] = m_request.turn.program;
+        if (!m_request.turn.previousTurn.empty()) {
+            fields["previousTurn"] = m_request.turn.previousTurn;
+        }
         if (m_request.turn.hasBudget) {
             fields["budget"] = m_request.turn.budget;
             fields["mostTokens"] = m_request.turn.maxTokens;
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -128,7 +128,8 @@
     std::vector<programs::Ancestor> m_ancestors;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
     std::uint64_t m_reservedTokens = 0;
-    programs::TurnPtr m_turn; ///< null until the turn has ended
+    bool m_isGrantRecorded = true; ///< the program's row contains the reserved tokens
+    programs::TurnPtr m_turn;      ///< null until the turn has ended
     EventScanner m_events;
     std::optional<StreamContinuation> m_continuation; ///< of a stream that further runs may continue
     bool m_isOverGrant = false;                       ///< the response was cut off because all granted tokens are used
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -106,6 +106,7 @@
     recordPhase("budget", startedAt);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         m_reservedTokens = reservation.tokens;
+        m_isGrantRecorded = reservation.isRecorded;
         co_return std::nullopt;
     }
     co_return reservation.outcome == BudgetOutcome::Exhausted ? Refusal::BudgetSpent : Refusal::BudgetUnknown;
@@ -125,7 +126,7 @@
 {
     const auto isKept = *m_history == TurnHistory::KeptByHosts;
     // Tokens that are not yet in the program's row are replicated with the turn that used them.
-    if (!isKept && m_context.budgets.unrecordedTokens(programKey()) == 0) {
+    if (!isKept && m_isGrantRecorded) {
         settleBudget();
         co_return;
     }
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -29,6 +29,7 @@
 auto DirectWay::succeeded() -> void
 {
     m_failuresInARow = 0;
+    m_hasAnswered = true;
     m_avoidedUntil = {};
 }
 
--- a/src/store/routedstore.h
+++ b/src/store/routedstore.h
@@ -20,8 +20,12 @@
     /// Whether the last call on it was answered.
     auto isSound() const -> bool { return m_failuresInARow == 0; }
 
+    /// Whether any call on it was answered.
+    auto hasAnswered() const -> bool { return m_hasAnswered; }
+
 private:
     int m_failuresInARow = 0;
+    bool m_hasAnswered = false;
     framework::Instant m_avoidedUntil{};
 };
 
