--- a/testing/faultsoak/faultplayer.cpp
+++ b/testing/faultsoak/faultplayer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <csignal>
 #include <optional>
 
@@ -32,9 +33,12 @@
     }
 }
 
-auto engineFaultOf(FaultKind kind) -> std::optional<EngineFault>
+/// Ways in which a stream ends early.
+constexpr auto s_streamBreaks = std::array{EngineFault::BreakOff, EngineFault::BreakInside, EngineFault::Stall};
+
+auto engineFaultOf(const Fault& fault) -> std::optional<EngineFault>
 {
-    switch (kind) {
+    switch (fault.kind) {
     case FaultKind::EngineRefuses:
         return EngineFault::NotRun;
     case FaultKind::EngineElsewhere:
@@ -44,7 +48,7 @@
     case FaultKind::EngineStray:
         return EngineFault::Stray;
     case FaultKind::EngineBreaksOff:
-        return EngineFault::BreakOff;
+        return s_streamBreaks[static_cast<std::size_t>(fault.target) % s_streamBreaks.size()];
     case FaultKind::EngineUnsigned:
         return EngineFault::Unsigned;
     case FaultKind::EngineHangs:
@@ -96,7 +100,7 @@
         m_fleet.store().setFault(m_store.push(number, *state));
         return;
     }
-    if (const auto state = engineFaultOf(fault.kind)) {
+    if (const auto state = engineFaultOf(fault)) {
         m_fleet.engine(engine).setFault(m_engines[engine].push(number, *state));
         return;
     }
@@ -146,7 +150,7 @@
         m_fleet.store().setFault(m_store.remove(number));
         return;
     }
-    if (engineFaultOf(fault.kind)) {
+    if (engineFaultOf(fault)) {
         m_fleet.engine(engine).setFault(m_engines[engine].remove(number));
         return;
     }
--- a/testing/faultsoak/promises.cpp
+++ b/testing/faultsoak/promises.cpp
@@ -69,6 +69,9 @@
 auto Promises::eventsOf(const std::string& id) const -> std::vector<std::string>
 {
     const auto known = m_attempts.find(id);
+    if (known != m_attempts.end() && !known->second.attempt.continues.empty()) {
+        return eventsOf(known->second.attempt.continues);
+    }
     const auto most = known == m_attempts.end() ? s_tokensPerEvent : known->second.attempt.most;
     const auto limit = std::clamp<std::uint64_t>(most / s_tokensPerEvent, 1, s_mostEvents);
     const auto count = 1 + framework::hash64(id) % limit;
@@ -196,7 +199,9 @@
     } else {
         auto number = 0;
         for (const auto& data : eventsOf(attempt.id)) {
-            expected += fmt::format("id: {}\ndata: {}\n\n", ++number, data);
+            if (++number > attempt.lastEvent) {
+                expected += fmt::format("id: {}\ndata: {}\n\n", number, data);
+            }
         }
     }
     const auto isRight = got.isWhole ? got.body == expected : expected.starts_with(got.body);
--- a/testing/faultsoak/promises.h
+++ b/testing/faultsoak/promises.h
@@ -23,6 +23,8 @@
     std::uint64_t budget = 0; ///< tokens, of the whole program
     std::uint64_t most = 0;   ///< tokens that the turn may generate
     bool mayRepeat = false;   ///< idempotent
+    std::string continues;    ///< the attempt whose broken stream this one continues
+    int lastEvent = 0;        ///< of that stream, received whole
 };
 
 /// The rate that an account may use over all hosts.
--- a/testing/faultsoak/soakcallers.cpp
+++ b/testing/faultsoak/soakcallers.cpp
@@ -44,6 +44,15 @@
     return account + "-key";
 }
 
+auto wholeEvents(const std::string& body) -> int
+{
+    auto events = 0;
+    for (auto end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", end + 2)) {
+        ++events;
+    }
+    return events;
+}
+
 } // namespace
 
 SoakCallers::SoakCallers(asio::io_context& context, SoakFleet& fleet, Promises& promises, std::uint64_t seed)
@@ -73,8 +82,12 @@
 
 auto SoakCallers::runProgram(Connection& connection, std::mt19937_64& random) -> asio::awaitable<void>
 {
-    auto program =
-        Program{.name = nextId("program"), .account = random() % 4 == 0 ? "small" : "large", .budget = 40 + random() % 300, .turns = {}};
+    auto program = Program{.name = nextId("program"),
+                           .account = random() % 4 == 0 ? "small" : "large",
+                           .budget = 40 + random() % 300,
+                           .sendsHistory = random() % 3 == 0,
+                           .history = {},
+                           .turns = {}};
     const auto turns = 1 + static_cast<int>(random() % s_mostTurns);
     for (auto turn = 0; turn < turns && !m_isStopped; ++turn) {
         auto previous = program.turns.empty() ? std::string() : program.turns.back();
@@ -94,8 +107,56 @@
     }
 }
 
+auto SoakCallers::takeDraft(Connection& connection, Program& program, int tries) -> asio::awaitable<TurnEnd>
+{
+    const auto input = fmt::format("input {} ", ++m_number);
+    auto first = std::string(); // The attempt whose stream the later ones continue.
+    auto received = 0;
+    for (auto attemptNumber = 0; attemptNumber < tries; ++attemptNumber) {
+        const auto attempt = Attempt{.id = nextId("draft"),
+                                     .account = program.account,
+                                     .program = program.name,
+                                     .previousTurn = {},
+                                     .input = program.history + input,
+                                     .budget = program.budget,
+                                     .most = s_tokensOfATurn,
+                                     .mayRepeat = true,
+                                     .continues = received > 0 ? first : std::string(),
+                                     .lastEvent = received};
+        auto ask = Ask{.target = "/drafts/one", .id = attempt.id, .key = keyOf(program.account), .body = attempt.input, .headers = {}};
+        ask.headers = {{"Program-Id", program.name},
+                       {"Session-Id", program.name},
+                       {"Token-Budget", std::to_string(program.budget)},
+                       {"Token-Usage", fmt::format("100,{}", attempt.most)}};
+        if (received > 0) {
+            ask.headers.emplace_back("Last-Event-Id", std::to_string(received));
+        }
+        first = received > 0 ? first : attempt.id;
+        const auto got = co_await send(connection, attempt, ask);
+        if (got.status == 200 && got.isWhole) {
+            program.history += input;
+            for (const auto& data : m_promises.eventsOf(attempt.id)) {
+                program.history += data + '\n';
+            }
+            program.turns.push_back(attempt.id);
+            co_return TurnEnd::Whole;
+        }
+        if (got.status == 402) {
+            co_return TurnEnd::Spent;
+        }
+        if (got.status == 200) {
+            received += wholeEvents(got.body);
+        }
+        co_await rest(s_retryPause * (attemptNumber + 1));
+    }
+    co_return TurnEnd::Failed;
+}
+
 auto SoakCallers::takeTurn(Connection& connection, Program& program, const std::string& previous, int tries) -> asio::awaitable<TurnEnd>
 {
+    if (program.sendsHistory) {
+        co_return co_await takeDraft(connection, program, tries);
+    }
     for (auto attemptNumber = 0; attemptNumber < tries; ++attemptNumber) {
         const auto attempt = Attempt{.id = nextId("turn"),
                                      .account = program.account,
--- a/testing/faultsoak/soakcallers.h
+++ b/testing/faultsoak/soakcallers.h
@@ -43,6 +43,8 @@
         std::string name;
         std::string account;
         std::uint64_t budget = 0;
+        bool sendsHistory = false;      ///< its caller keeps the history and sends it with each turn
+        std::string history;            ///< kept by its caller
         std::vector<std::string> turns; ///< answered whole
     };
 
@@ -56,6 +58,8 @@
     auto runPrograms(std::uint64_t seed) -> asio::awaitable<void>;
     auto runProgram(Connection& connection, std::mt19937_64& random) -> asio::awaitable<void>;
     auto takeTurn(Connection& connection, Program& program, const std::string& previous, int tries) -> asio::awaitable<TurnEnd>;
+    /// A turn whose request carries the history; goes on where a broken stream ended.
+    auto takeDraft(Connection& connection, Program& program, int tries) -> asio::awaitable<TurnEnd>;
     auto callOnce(Connection& connection, const std::string& account, bool mayRepeat) -> asio::awaitable<Got>;
     auto send(Connection& connection, const Attempt& attempt, const Ask& ask) -> asio::awaitable<Got>;
     auto exchange(Connection& connection, const std::string& text) -> asio::awaitable<Got>;
--- a/testing/faultsoak/soakfleet.cpp
+++ b/testing/faultsoak/soakfleet.cpp
@@ -225,13 +225,15 @@
     };
     auto turns = route("turns", "stream");
     turns.update(Json{{"target_latency_ms", 200}, {"retain", true}, {"retention_s", 60}});
+    auto drafts = route("drafts", "stream");
+    drafts.update(Json{{"target_latency_ms", 200}, {"resumable", true}, {"target_gap_ms", 100}});
     auto keys = Json::array({"small-key"});
     if (isSecondKeyValid) {
         keys.push_back("second-key");
     }
     const auto configuration = Json{
         {"version", ++m_configuration},
-        {"routes", {turns, route("look", "safe"), route("pay", "unsafe")}},
+        {"routes", {turns, drafts, route("look", "safe"), route("pay", "unsafe")}},
         {"services", {{{"name", "engines"}, {"health_path", "/health"}, {"engine", {{"slots", 8}, {"tokens_per_event", 10}}}}}},
         {"limits", {{"max_header_bytes", 4'000}, {"max_body_bytes", 50'000}, {"header_timeout_ms", 2'000}, {"idle_timeout_ms", 5'000}}},
         {"tenants",
