--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -50,6 +50,9 @@
     /// later incarnation has no record of turns of an earlier one.
     virtual auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool = 0;
 
+    /// Address of the reachable host with this name that still has this incarnation; empty if there is none.
+    virtual auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string = 0;
+
     virtual auto ownAddress() const -> std::string = 0;
     virtual auto ownIncarnation() const -> std::uint64_t = 0;
 
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -145,6 +145,15 @@
            found->second.last.unwritten_turns() == 0;
 }
 
+auto PeerTable::addressOf(std::string_view host, std::uint64_t incarnation, Instant now) const -> std::string
+{
+    const auto found = std::ranges::find_if(m_peers, [&](const auto& entry) {
+        const auto& last = entry.second.last;
+        return last.incarnation() == incarnation && last.host() == host && isReachable(entry.second, now);
+    });
+    return found == m_peers.end() ? std::string() : found->first;
+}
+
 auto PeerTable::countRestartedSince(std::uint64_t since, Instant now) const -> int
 {
     const auto peers = reachablePeers(now);
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -104,6 +104,9 @@
     /// incarnation has lost such turns.
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation, framework::Instant now) const -> bool;
 
+    /// Address of the reachable host with this name and incarnation; empty if there is none.
+    auto addressOf(std::string_view host, std::uint64_t incarnation, framework::Instant now) const -> std::string;
+
     /// Number of reachable hosts that were restarted after `since` (Unix milliseconds) and thus lost their state in memory.
     auto countRestartedSince(std::uint64_t since, framework::Instant now) const -> int;
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -394,6 +394,21 @@
     co_return true;
 }
 
+auto BudgetLedger::possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
+{
+    if (mayHaveUnrecordedGrants()) {
+        return m_peers.reachableHosts();
+    }
+    auto addresses = program.isRowKnown ? std::vector<std::string>() : m_peers.replicaHosts(key.program);
+    for (const auto& holding : program.row.holdings()) {
+        const auto address = m_peers.addressOf(holding.host(), holding.incarnation());
+        if (!address.empty() && std::ranges::find(addresses, address) == addresses.end()) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
 {
     auto others = PeerHoldings();
@@ -405,8 +420,8 @@
     query.set_account(key.account);
     query.set_program(key.program);
     query.set_tokens(need);
-    const auto answers =
-        co_await peers::callAll(m_peers, m_peers.reachableHosts(), std::move(request), s_queryTimeout, [](const auto&) { return false; });
+    const auto answers = co_await peers::callAll(m_peers, possibleHolders(key, *program), std::move(request), s_queryTimeout,
+                                                 [](const auto&) { return false; });
     auto unrecordedTokens = std::uint64_t{0};
     auto held = std::uint64_t{0};
     for (const auto& response : answers.responses) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -114,6 +114,9 @@
     auto possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<std::uint64_t>;
     auto writeRow(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::AsyncResult<bool>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
+    /// Hosts that may have tokens of the program. With the store at hand these are the program's home hosts and those in its row;
+    /// during and after an outage any host may have granted some.
+    auto possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>;
     auto queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<PeerHoldings>;
     auto grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others) -> Reservation;
     /// Whether the program may have started during this outage, so that no row limits what it may still use.
--- /dev/null
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -0,0 +1,183 @@
+#include "programs/budgetledger.h"
+#include "framework/global/systemclock.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+using namespace laburnummill::programs;
+namespace asio = boost::asio;
+namespace peers = laburnummill::peers;
+namespace store = laburnummill::store;
+using laburnummill::framework::Async;
+using laburnummill::framework::AsyncResult;
+using laburnummill::framework::Milliseconds;
+using laburnummill::framework::SystemClock;
+
+namespace {
+
+/// One row at most; can be made unavailable.
+class OneRowStore final : public store::IStore
+{
+public:
+    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        if (transaction.conditions.front().version != m_row.version) {
+            co_return store::TransactionReply{.isApplied = false, .version = m_row.version, .currentRows = {m_row}};
+        }
+        m_row = {.address = transaction.puts.front().address, .value = transaction.puts.front().value, .version = m_row.version + 1};
+        co_return store::TransactionReply{.isApplied = true, .version = m_row.version, .currentRows = {}};
+    }
+
+    auto list(store::ListRequest) -> AsyncResult<store::RowPage> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return store::RowPage{.rows = {m_row}, .version = m_row.version, .hasMore = false};
+    }
+
+    auto row() const -> const store::Row& { return m_row; }
+
+    bool isAway = false;
+
+private:
+    store::Row m_row;
+};
+
+/// A fleet of 295 hosts as one of them sees it. No host but this one has tokens.
+class ManyPeers final : public peers::IPeers
+{
+public:
+    static constexpr auto s_others = 294;
+
+    auto reachableHosts() const -> std::vector<std::string> override
+    {
+        auto addresses = std::vector<std::string>();
+        for (auto number = 1; number <= s_others; ++number) {
+            addresses.push_back("peer-" + std::to_string(number));
+        }
+        return addresses;
+    }
+
+    auto home(std::string_view) const -> std::string override { return ownAddress(); }
+    auto replicaHosts(std::string_view) const -> std::vector<std::string> override { return {"peer-1", "peer-2"}; }
+    auto storeProxies() const -> std::vector<std::string> override { return {}; }
+    auto isAnyHostUnreachable() const -> bool override { return false; }
+    auto mayHaveUnknownTurns() const -> bool override { return true; }
+    auto mayHaveLostGrants() const -> bool override { return hasLostGrants; }
+    auto wasStoreImpairedRecently() const -> bool override { return isImpaired; }
+    auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
+    auto addressOf(std::string_view host, std::uint64_t) const -> std::string override { return "address of " + std::string(host); }
+    auto ownAddress() const -> std::string override { return "own"; }
+    auto ownIncarnation() const -> std::uint64_t override { return 1; }
+
+    auto call(std::string address, peers::messages::Request, Milliseconds) -> AsyncResult<peers::messages::Response> override
+    {
+        called.insert(address);
+        auto response = peers::messages::Response();
+        response.set_address(address);
+        response.set_knows_program(address == knowingHost);
+        response.set_budget_outcome(static_cast<std::uint32_t>(BudgetOutcome::Undetermined));
+        co_return response;
+    }
+
+    std::set<std::string> called;
+    std::string knowingHost;
+    bool hasLostGrants = false;
+    bool isImpaired = false;
+};
+
+} // namespace
+
+TEST_GROUP(BudgetLedger)
+{
+    asio::io_context context;
+    SystemClock clock;
+    OneRowStore store;
+    ManyPeers peers;
+    ProgramTable table{context.get_executor(), clock, "here", 1};
+    BudgetLedger ledger{context.get_executor(), table, store, peers, clock};
+    ProgramKey key{.account = "pub", .program = "p1"};
+
+    auto reserve(TokenDemand demand)->Reservation
+    {
+        auto reservation = Reservation();
+        asio::co_spawn(
+            context, [&]() -> Async<void> { reservation = co_await ledger.reserve(key, demand); }, asio::detached);
+        context.restart();
+        context.run();
+        return reservation;
+    }
+
+    static auto demand(TurnHistory history)->TokenDemand
+    {
+        return {.budget = 10'000, .maxTokens = 300, .isFirstTurn = false, .history = history};
+    }
+
+    /// Writes the program's row as two other hosts would, each of which was granted `tokens`.
+    auto putRowOfOthers(std::uint64_t tokens)->void
+    {
+        for (const auto* host : {"there", "elsewhere"}) {
+            auto others = ProgramTable(context.get_executor(), clock, host, 7);
+            const auto program = others.program(key);
+            others.adoptRow(*program, &store.row());
+            ProgramTable::limitBudget(*program, 10'000);
+            auto change = others.prepareChange(key, *program, tokens);
+            auto transaction = store::Transaction{.conditions = {change.condition}, .puts = {change.put}, .removals = {}};
+            asio::co_spawn(
+                context, [&]() -> Async<void> { (void)co_await store.transact(transaction); }, asio::detached);
+            context.restart();
+            context.run();
+        }
+    }
+};
+
+TEST(BudgetLedger, onlyTheHostsInTheRowAreAskedForTokensWhileTheStoreIsAtHand)
+{
+    putRowOfOthers(4'950); // 100 tokens are left: fewer than a turn needs.
+    CHECK_TRUE(reserve(demand(TurnHistory::KeptByHosts)).outcome == BudgetOutcome::Exhausted);
+    CHECK_EQUAL(2U, peers.called.size());
+    CHECK_TRUE(peers.called.contains("address of there") && peers.called.contains("address of elsewhere"));
+}
+
+TEST(BudgetLedger, allHostsAreAskedAfterAnOutage)
+{
+    putRowOfOthers(4'950);
+    peers.isImpaired = true;
+    reserve(demand(TurnHistory::KeptByHosts));
+    CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others), peers.called.size());
+}
+
+TEST(BudgetLedger, aProgramThatNobodyKnowsIsGrantedOneTurnsTokensWithoutTheStore)
+{
+    store.isAway = true;
+    peers.isImpaired = true;
+    const auto first = reserve(demand(TurnHistory::SentByCaller));
+    CHECK_TRUE(first.outcome == BudgetOutcome::Reserved && !first.isRecorded);
+    CHECK_EQUAL(300U, first.tokens);
+    ledger.settle(key, first.tokens, 290);
+    CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome == BudgetOutcome::Undetermined);
+}
+
+TEST(BudgetLedger, nothingIsGrantedWithoutTheStoreOnceGrantsMayBeLost)
+{
+    store.isAway = true;
+    peers.isImpaired = true;
+    peers.hasLostGrants = true;
+    CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome == BudgetOutcome::Undetermined);
+}
+
+TEST(BudgetLedger, aHostThatKnowsTheProgramGrantsInPlaceOfOneThatDoesNot)
+{
+    store.isAway = true;
+    peers.isImpaired = true;
+    peers.knowingHost = "peer-9";
+    CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome != BudgetOutcome::Reserved);
+    CHECK_EQUAL(0U, ledger.unrecordedTokens(key));
+}
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -383,6 +383,11 @@
     return m_table.countRestartsHeardSince(m_storeOutageSince, now) >= s_turnHolders;
 }
 
+auto FleetLink::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
+{
+    return m_table.addressOf(host, incarnation, m_clock.now());
+}
+
 auto FleetLink::wasStoreImpairedRecently() const -> bool
 {
     return m_storeImpairedAt != framework::Instant{} && m_clock.now() < m_storeImpairedAt + s_storeImpairedRetention;
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -64,6 +64,7 @@
     auto mayHaveLostGrants() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
+    auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
     auto ownIncarnation() const -> std::uint64_t override { return m_incarnation; }
     auto call(std::string address, peers::messages::Request request, framework::Milliseconds timeout)
