--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -24,7 +24,6 @@
 
 /// Used after a slow or failed request: a store that refuses connections does so within this time.
 constexpr auto s_slowStoreTimeout = Milliseconds(10);
-constexpr auto s_queryTimeout = Milliseconds(200);
 
 /// A host that is asked whether it knows a program answers from memory.
 constexpr auto s_programQueryTimeout = Milliseconds(30);
@@ -39,24 +38,11 @@
 /// Turns take about 250 ms, so hosts that had no free tokens may have some after this interval.
 constexpr auto s_requeryInterval = Milliseconds(300);
 
-/// Budgets of more turns than this are large: a quarter of one may be granted to a program that starts during an outage.
-constexpr auto s_largeBudgetTurns = std::uint64_t{4};
-constexpr auto s_outageGrantDivisor = std::uint64_t{4};
-
 constexpr auto s_maxWriteAttempts = 8;
 
 /// Unit of the random pause after a conflict; a write takes about 10 ms.
 constexpr auto s_contentionPauseMs = 15U;
 
-/// During an outage a turn may run with this share of its maximum: a typical turn generates no more.
-constexpr auto s_minOutageGrantShare = 0.25;
-
-/// Whether a program that starts during an outage may be granted more than one turn's tokens.
-auto mayBeGrantedMore(const Program& program, std::uint64_t maxTokens) -> bool
-{
-    return program.history == TurnHistory::KeptByHosts && program.budget > s_largeBudgetTurns * maxTokens;
-}
-
 } // namespace
 
 BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
@@ -334,22 +320,6 @@
     co_return false;
 }
 
-auto BudgetLedger::recordUnrecordedGrants() -> Async<void>
-{
-    for (const auto& [key, program] : m_table.withUnrecordedTokens()) {
-        for (auto attempt = 0; attempt < s_maxWriteAttempts && program->unrecordedTokens > 0 && !program->isRowBeingWritten; ++attempt) {
-            const auto isWritten = co_await writeRow(key, program, 0);
-            if (!isWritten) {
-                co_return; // Retried at the next call.
-            }
-            if (isWritten.value()) {
-                framework::logEvent(framework::LogLevel::Info, "programs", "lent_tokens_recorded", {{"program", key.program}});
-                break;
-            }
-        }
-    }
-}
-
 auto BudgetLedger::prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t
 {
     // Programs use about a fifth of their budgets. Claiming half of the budget at first is enough to get through a store
@@ -358,24 +328,6 @@
     return isFirstGrant ? std::max(maxTokens, unclaimedTokens / 2 - std::min(unclaimedTokens / 2, maxTokens)) : maxTokens;
 }
 
-auto BudgetLedger::mayHaveUnrecordedGrants() const -> bool
-{
-    return m_isStoreSlow || m_peers.wasStoreImpairedRecently();
-}
-
-auto BudgetLedger::possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<std::uint64_t>
-{
-    if (!mayHaveUnrecordedGrants()) {
-        co_return 0;
-    }
-    const auto others = co_await queryPeers(key, program, maxTokens);
-    const auto isLarge = mayBeGrantedMore(*program, maxTokens);
-    // Unreachable hosts may have granted tokens as well. A budget may be exceeded by one turn's tokens, so only the larger grants
-    // to programs with large budgets are counted.
-    const auto unreachable = m_peers.isAnyHostUnreachable() && isLarge ? program->budget / s_outageGrantDivisor : 0;
-    co_return others.unrecordedTokens + unreachable;
-}
-
 auto BudgetLedger::unrecordedTokens(const ProgramKey& key) const -> std::uint64_t
 {
     const auto program = m_table.find(key);
@@ -394,100 +346,4 @@
     co_return true;
 }
 
-auto BudgetLedger::possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
-{
-    if (mayHaveUnrecordedGrants()) {
-        return m_peers.reachableHosts();
-    }
-    auto addresses = program.isRowKnown ? std::vector<std::string>() : m_peers.replicaHosts(key.program);
-    for (const auto& holding : program.row.holdings()) {
-        const auto address = m_peers.addressOf(holding.host(), holding.incarnation());
-        if (!address.empty() && std::ranges::find(addresses, address) == addresses.end()) {
-            addresses.push_back(address);
-        }
-    }
-    return addresses;
-}
-
-auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
-{
-    auto others = PeerHoldings();
-    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && !mayHaveUnrecordedGrants()) {
-        co_return others;
-    }
-    auto request = peers::messages::Request();
-    auto& query = *request.mutable_grant_query();
-    query.set_account(key.account);
-    query.set_program(key.program);
-    query.set_tokens(need);
-    const auto answers = co_await peers::callAll(m_peers, possibleHolders(key, *program), std::move(request), s_queryTimeout,
-                                                 [](const auto&) { return false; });
-    auto unrecordedTokens = std::uint64_t{0};
-    auto held = std::uint64_t{0};
-    for (const auto& response : answers.responses) {
-        program->holding.transferIn(response.granted());
-        others.hasRunningTurns = others.hasRunningTurns || response.reserved() > 0;
-        // A host that has already granted tokens remains the grantor; otherwise the grantor is the host with the lowest address
-        // among those that have the program.
-        const auto isBefore = response.has_lent() != (program->unrecordedTokens > 0)
-                                  ? response.has_lent()
-                                  : !hasProgram(key) || response.address() < m_peers.ownAddress();
-        const auto isBest = others.grantor.empty() || response.has_lent() || response.address() < others.grantor;
-        if (response.knows_program() && isBefore && isBest) {
-            others.grantor = response.address();
-        }
-        others.isProgramKnown = others.isProgramKnown || response.knows_program() || response.lent() > 0;
-        if (response.knows_program()) {
-            others.unclaimedTokens = std::min<std::uint64_t>(others.unclaimedTokens, response.left());
-        }
-        unrecordedTokens += response.lent();
-        held = std::max<std::uint64_t>(held, response.lent());
-    }
-    others.unrecordedTokens = std::max(unrecordedTokens, held);
-    co_return others;
-}
-
-auto BudgetLedger::unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t
-{
-    const auto isLarge = mayBeGrantedMore(program, demand.maxTokens) && !program.isRowKnown;
-    const auto limit = isLarge ? program.budget / s_outageGrantDivisor : demand.maxTokens;
-    return m_peers.isAnyHostUnreachable() ? limit / 2 : limit; // Unreachable hosts may grant tokens as well.
-}
-
-auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
-{
-    if (demand.history == TurnHistory::KeptByHosts) {
-        return demand.isFirstTurn;
-    }
-    // Hosts that ran earlier turns know the program, unless they have lost their memory since. Its row then contains what they
-    // used, and one turn's tokens may be granted without it, but only once.
-    return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveLostGrants();
-}
-
-auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
-    -> Reservation
-{
-    const auto mayGrant =
-        (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
-    // A program without a row started during this outage. If all hosts lose their memory now, its turns are lost together with
-    // the record of the granted tokens, so that no later turn can continue them.
-    const auto limit = unrecordedGrantLimit(program, demand);
-    const auto unclaimedTokens = std::min(m_table.unclaimedTokens(program), others.unclaimedTokens);
-    const auto room =
-        std::min(unclaimedTokens - std::min(unclaimedTokens, others.unrecordedTokens), limit - std::min(limit, program.unrecordedTokens));
-    const auto free = program.holding.free();
-    const auto tokens = std::min(demand.maxTokens, free + room);
-    if (!mayGrant || static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(demand.maxTokens)) {
-        return {.outcome = BudgetOutcome::Undetermined, .tokens = 0};
-    }
-    const auto granted = tokens - std::min(tokens, free);
-    program.unrecordedTokens += granted;
-    program.holding.grant(granted);
-    program.holding.reserve(tokens);
-    framework::logEvent(
-        framework::LogLevel::Warning, "programs", "tokens_lent",
-        {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.unrecordedTokens}, {"isFirstTurn", demand.isFirstTurn}});
-    return {.outcome = BudgetOutcome::Reserved, .tokens = tokens, .isRecorded = false};
-}
-
 } // namespace laburnummill::programs
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -57,8 +57,8 @@
     framework::Milliseconds timeout{0};
     framework::Milliseconds latencyObjective{0};
     framework::Milliseconds maxEventInterval{0}; ///< longest pause between events of a stream that is on time; 0 if unknown
-    int maxAttempts = 1; ///< maximum number of backend servers that one request is sent to
-    int priority = 0;    ///< 0 is the highest priority
+    int maxAttempts = 1;                         ///< maximum number of backend servers that one request is sent to
+    int priority = 0;                            ///< 0 is the highest priority
     std::vector<WeightedService> services;
     bool isOpen = false;     ///< no key is required
     bool keepsTurns = false; ///< requests are turns whose text is stored
