Hosts with late reports choose as if the others had filled the cheapest servers

Hosts place by reports that are up to an interval old (0.2 s with 12 hosts, 1.5 s with 295), so that all choose the same engine; the more hosts, the longer.

Change: UnreportedStarts takes what the others have started since their reports to have gone to the cheapest servers until these cost the same, failures and overdue requests included; reported requests are expected to end meanwhile. Among servers of equal cost the choice is random in proportion to these starts. The failure share over all hosts is failures by requests, estimated from those in progress; a sum made 3 lost answers in 100 look like a third, a mean hid a server at which each host had failed once.

--- a/src/backends/backendhealth.cpp
+++ b/src/backends/backendhealth.cpp
@@ -23,9 +23,15 @@
 /// Consecutive failures that indicate a crash rather than isolated errors.
 constexpr auto s_consecutiveFailureLimit = 3;
 
-/// Up to this share, which one failure among ten requests exceeds by chance, this host's own observation counts only as one of many.
+/// One failure adds less than this to this host's own share.
 constexpr auto s_isolatedFailureShare = 0.15;
 
+/// Requests of the last seconds for each one in progress: half-life of the failure share by the time that a request takes, some 0.2 s.
+constexpr auto s_recentPerRunning = 14.0;
+
+/// Answered requests that are presumed before any is known.
+constexpr auto s_presumedAnswers = 8.0;
+
 /// Half-life of the failure share. A server fails for some seconds; a few requests then show whether it has recovered.
 constexpr auto s_failureHalfLife = Milliseconds(2'000);
 
@@ -39,13 +45,13 @@
     return m_failureShare == 0 ? 0 : m_failureShare * std::exp2(-halfLives);
 }
 
-auto BackendHealth::combinedFailureShare(Instant now) const -> double
+auto BackendHealth::combinedFailureShare(int inFlight, Instant now) const -> double
 {
     const auto own = failureShare(now);
-    const auto isUsedHere = now < m_failureShareAt + s_failureHalfLife;
-    const auto hosts = m_remote.hosts + (isUsedHere ? 1 : 0);
-    const auto mean = hosts == 0 ? own : (own + m_remote.failureShares) / hosts;
-    return own > s_isolatedFailureShare ? std::max(own, mean) : mean;
+    const auto failures = (own + m_remote.failureShares) / s_smoothingFactor;
+    const auto requests = failures + inFlight * s_recentPerRunning + s_presumedAnswers;
+    const auto overAllHosts = failures / requests;
+    return own > s_isolatedFailureShare ? std::max(own, overAllHosts) : overAllHosts;
 }
 
 auto BackendHealth::record(ServerOutcome outcome, double slowness, Instant now) -> void
--- a/src/backends/backendhealth.h
+++ b/src/backends/backendhealth.h
@@ -18,7 +18,6 @@
 struct RemoteHealth
 {
     double failureShares = 0; ///< fractions of their recent requests that failed, summed over the hosts
-    int hosts = 0;            ///< that have requests there or report failures
     int overdue = 0;          ///< requests without a response for unusually long
 };
 
@@ -39,8 +38,9 @@
 
     auto setRemoteReports(const RemoteHealth& reports) -> void { m_remote = reports; }
 
-    /// Fraction of recent requests that failed: on this host or, if that is higher, on average over the hosts that use the server.
-    auto combinedFailureShare(framework::Instant now) const -> double;
+    /// Fraction of the recent requests of all hosts that failed, with `inFlight` requests of theirs in progress. If this host's own
+    /// fraction is higher and not due to a single failure, that one.
+    auto combinedFailureShare(int inFlight, framework::Instant now) const -> double;
     auto remoteOverdue() const -> int { return m_remote.overdue; }
 
     /// Average ratio of request durations on this server to those on other servers; 1 is usual.
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -242,7 +242,6 @@
         for (const auto& use : peer->last.backends()) {
             auto& backend = found[use.backend()];
             backend.running += static_cast<int>(use.running());
-            ++backend.hosts;
             backend.overdue += static_cast<int>(use.overdue());
             backend.failureShares += use.failure_permille() / s_permille;
         }
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -20,7 +20,7 @@
     std::map<std::string, std::uint64_t> admitted; ///< requests admitted since its current start, by client account
     framework::Instant knownSince{};
     framework::Instant incarnationSince{}; ///< first heartbeat of its current incarnation
-    framework::Instant lastHeartbeatAt{}; ///< the epoch if no heartbeat was received yet
+    framework::Instant lastHeartbeatAt{};  ///< the epoch if no heartbeat was received yet
 };
 
 /// Requests that another host has admitted for a client account since its previous heartbeat.
@@ -46,8 +46,7 @@
 {
     int running = 0;          ///< requests under way
     int overdue = 0;          ///< number of these requests without a response for unusually long
-    int hosts = 0;            ///< that report the server
-    double failureShares = 0; ///< fractions of failed requests, summed over these hosts
+    double failureShares = 0; ///< fractions of failed requests, summed over the hosts
 };
 
 /// Destinations of one heartbeat.
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace laburnummill::scheduling {
@@ -49,13 +50,28 @@
 /// A token bucket that was not used for this time is initialised again, because the server is in a new cold start.
 constexpr auto s_coldResetInterval = Milliseconds(2'000);
 
-/// Starts count as unreported for this many report intervals: reports are up to one interval old when they arrive, and a reported
-/// request ends after another one on average.
-constexpr auto s_unreportedIntervals = 2;
+/// Average age of reports as a fraction of the report interval; they are also delayed by relays.
+constexpr auto s_reportAge = 0.75;
+
+/// Servers that have answered faster than usual are not taken to be more than twice as fast.
+constexpr auto s_minSlowness = 0.5;
+
+constexpr auto s_bisectionSteps = 20;
+
+/// Costs closer than this, in milliseconds, are equal.
+constexpr auto s_equalCost = 1.0;
 
 /// Number of prompt parts tracked for each engine; deployed engines cache fewer.
 constexpr auto s_maxTrackedParts = std::size_t{1'000};
 
+/// Cost of a further request at a server with `inFlight` in progress, in milliseconds.
+auto queueCost(const ServerLoad& load, double inFlight) -> double
+{
+    const auto waiting = std::max(0.0, inFlight + 1 - load.slots);
+    return load.penalty + load.slowness * (s_serviceMilliseconds + s_serviceMilliseconds * waiting / load.slots +
+                                           s_perRunningRequestMilliseconds * std::min(inFlight, load.slots - 1));
+}
+
 } // namespace
 
 auto PromptCacheTracker::recordPrompt(std::uint64_t engine, const std::vector<PromptPart>& prompt) -> void
@@ -101,34 +117,48 @@
     m_buckets[server].tokens -= 1;
 }
 
-auto RecentStarts::Count::at(Instant now) const -> double
+auto RecentStarts::count(Instant now) const -> double
 {
-    return value * std::exp(-std::chrono::duration<double>(now - updatedAt) / std::chrono::duration<double>(decayTime));
+    return m_count * std::exp(-std::chrono::duration<double>(now - m_updatedAt) / std::chrono::duration<double>(m_interval));
 }
 
-auto RecentStarts::Count::add(Milliseconds newDecayTime, Instant now) -> void
+auto RecentStarts::add(Milliseconds interval, Instant now) -> void
 {
-    value = at(now) + 1;
-    decayTime = newDecayTime;
-    updatedAt = now;
+    m_count = count(now) + 1;
+    m_interval = std::max(interval, Milliseconds(1));
+    m_updatedAt = now;
 }
 
-auto RecentStarts::add(std::uint64_t server, Milliseconds reportInterval, Instant now) -> void
+UnreportedStarts::UnreportedStarts(const std::vector<ServerLoad>& loads, double total)
 {
-    const auto decayTime = std::max(reportInterval * s_unreportedIntervals, Milliseconds(1));
-    m_byServer[server].add(decayTime, now);
-    m_all.add(decayTime, now);
+    if (loads.empty() || total <= 0) {
+        return;
+    }
+    auto low = std::numeric_limits<double>::max();
+    auto high = 0.0;
+    for (const auto& load : loads) {
+        low = std::min(low, queueCost(load, load.inFlight));
+        high = std::max(high, queueCost(load, load.inFlight + total));
+    }
+    for (auto step = 0; step < s_bisectionSteps; ++step) {
+        m_cost = (low + high) / 2;
+        auto starts = 0.0;
+        for (const auto& load : loads) {
+            starts += at(load);
+        }
+        (starts < total ? low : high) = m_cost;
+    }
 }
 
-auto RecentStarts::unreportedExcess(std::uint64_t server, std::size_t servers, int hosts, Instant now) const -> double
+auto UnreportedStarts::at(const ServerLoad& load) const -> double
 {
-    const auto found = m_byServer.find(server);
-    const auto here = found == m_byServer.end() ? 0.0 : found->second.at(now);
-    const auto all = m_all.at(now);
-    // Laplace's estimate of the share of the starts that go to the server.
-    const auto count = static_cast<double>(servers);
-    const auto share = (here + 1) / (all + count);
-    return (hosts - 1) * all * (share - 1 / count);
+    // The inverse of queueCost().
+    const auto rest = (m_cost - load.penalty) / load.slowness - s_serviceMilliseconds;
+    const auto last = load.slots - 1; // One more request finds a free slot.
+    const auto withoutQueue = rest / s_perRunningRequestMilliseconds;
+    const auto inFlight =
+        withoutQueue <= last ? withoutQueue : last + (rest - s_perRunningRequestMilliseconds * last) * load.slots / s_serviceMilliseconds;
+    return std::max(0.0, inFlight - load.inFlight);
 }
 
 auto hasResponsiveServer(const std::vector<BackendPtr>& servers, const BackendRequirements& requirements, Instant now) -> bool
@@ -139,17 +169,16 @@
     });
 }
 
-auto BackendChoice::choose(const std::vector<BackendPtr>& servers, const BackendRequirements& requirements, const ChoiceSettings& settings,
-                           Instant now) -> BackendPtr
+auto BackendChoice::candidates(const std::vector<BackendPtr>& servers, const BackendRequirements& requirements,
+                               const ChoiceSettings& settings, Instant now) -> std::vector<Candidate>
 {
-    auto best = BackendPtr();
-    auto bestCost = std::numeric_limits<double>::max();
     const auto hasHealthy = std::ranges::any_of(
         servers, [&](const BackendPtr& server) { return !server->health.isAvoided(now) && !requirements.tried.contains(server->number); });
-    ++m_rotation;
-    for (auto index = std::size_t{0}; index < servers.size(); ++index) {
-        // Rotate the start of the list, so that servers of equal cost are used in turn.
-        const auto& server = servers[(index + m_rotation) % servers.size()];
+    const auto age = std::chrono::duration<double, std::milli>(settings.reportInterval).count() * s_reportAge;
+    const auto stillRunning = std::exp(-age / s_serviceMilliseconds);
+    auto found = std::vector<Candidate>();
+    auto total = 0.0; // As many requests start as end.
+    for (const auto& server : servers) {
         if (requirements.tried.contains(server->number) || (hasHealthy && server->health.isAvoided(now))) {
             continue;
         }
@@ -157,46 +186,82 @@
         if (isLimited && !m_coldStartLimiter.hasToken(server->number, settings.coldRequestsPerSecond, settings.hosts, now)) {
             continue;
         }
-        const auto unreported = m_recentStarts.unreportedExcess(server->number, servers.size(), settings.hosts, now);
-        const auto serverCost = cost(*server, requirements, settings, unreported, now);
-        if (serverCost < bestCost) {
-            bestCost = serverCost;
-            best = server;
+        const auto penalty = server->health.combinedFailureShare(server->running + server->runningRemotely, now) * s_brokenMilliseconds +
+                             s_overdueMilliseconds * std::min(server->overdue(now) + server->health.remoteOverdue(), s_maxOverdueCounted);
+        const auto load = ServerLoad{.inFlight = server->running + server->runningRemotely * stillRunning,
+                                     .slots = static_cast<double>(std::max(server->entry.slots, 1)),
+                                     .slowness = std::max(server->health.slowness(), s_minSlowness),
+                                     .penalty = penalty};
+        found.push_back({.server = server, .load = load, .unreported = 0, .cost = 0});
+        total += server->runningRemotely * (1 - stillRunning);
+    }
+    auto loads = std::vector<ServerLoad>();
+    std::ranges::transform(found, std::back_inserter(loads), &Candidate::load);
+    const auto unreported = UnreportedStarts(loads, std::max(total, (settings.hosts - 1) * m_recentStarts.count(now) * s_reportAge));
+    for (auto& candidate : found) {
+        candidate.unreported = unreported.at(candidate.load);
+        candidate.load.inFlight += candidate.unreported;
+        const auto reported = now < candidate.server->reportedAt + s_reportLifetime ? candidate.server->reportedWaiting : 0;
+        if (reported > 0) {
+            candidate.load.inFlight = std::max(candidate.load.inFlight, candidate.load.slots - 1 + reported);
+        }
+        candidate.cost = cost(*candidate.server, candidate.load, requirements, settings);
+    }
+    return found;
+}
+
+auto BackendChoice::choose(const std::vector<BackendPtr>& servers, const BackendRequirements& requirements, const ChoiceSettings& settings,
+                           Instant now) -> BackendPtr
+{
+    auto found = candidates(servers, requirements, settings, now);
+    if (found.empty()) {
+        return nullptr;
+    }
+    const auto best = std::ranges::min(found, {}, &Candidate::cost).cost;
+    std::erase_if(found, [best](const Candidate& candidate) { return candidate.cost > best + s_equalCost; });
+    auto room = 0.0;
+    for (const auto& candidate : found) {
+        room += candidate.unreported;
+    }
+    ++m_rotation;
+    if (room <= 0 && settings.hosts > 1) {
+        return found[m_random() % found.size()].server; // Hosts that used them in turn would do so in step.
+    }
+    if (room <= 0) {
+        return found[m_rotation % found.size()].server;
+    }
+    auto drawn = std::uniform_real_distribution<double>(0, room)(m_random);
+    for (const auto& candidate : found) {
+        drawn -= candidate.unreported;
+        if (drawn <= 0) {
+            return candidate.server;
         }
     }
-    return best;
+    return found.back().server;
 }
 
 auto BackendChoice::started(const BackendPtr& server, const BackendRequirements& requirements, const ChoiceSettings& settings, Instant now)
     -> void
 {
     m_promptCaches.recordPrompt(server->number, requirements.prompt);
-    m_recentStarts.add(server->number, settings.reportInterval, now);
+    m_recentStarts.add(settings.reportInterval, now);
     if (server->isCold(now) && settings.coldRequestsPerSecond > 0) {
         m_coldStartLimiter.take(server->number);
     }
 }
 
-auto BackendChoice::cost(const Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings, double unreported,
-                         Instant now) const -> double
+auto BackendChoice::cost(const Backend& server, const ServerLoad& load, const BackendRequirements& requirements,
+                         const ChoiceSettings& settings) const -> double
 {
-    const auto slots = std::max(server.entry.slots, 1);
-    const auto inFlight = std::max(0.0, server.running + server.runningRemotely + unreported);
-    const auto reported = now < server.reportedAt + s_reportLifetime ? server.reportedWaiting : 0;
-    const auto waiting = std::max({0.0, inFlight + 1 - slots, static_cast<double>(reported)});
-    const auto slowness = std::max(server.health.slowness(), 0.5);
-    auto total = slowness * (s_serviceMilliseconds + s_serviceMilliseconds * waiting / slots +
-                             s_perRunningRequestMilliseconds * std::min(inFlight, static_cast<double>(slots)));
+    auto total = queueCost(load, load.inFlight);
     auto uncachedTokens = m_promptCaches.missingTokens(server.number, requirements.prompt);
     if (!requirements.lastBackend.empty() && server.entry.id == requirements.lastBackend) {
         // This engine ran the previous turn, so it has cached all parts except the newest, even if another host sent that turn.
         uncachedTokens = std::min(uncachedTokens, requirements.prompt.empty() ? 0 : requirements.prompt.back().tokens);
     }
-    total += slowness * uncachedTokens / s_prefillTokensPerMillisecond;
+    total += load.slowness * uncachedTokens / s_prefillTokensPerMillisecond;
     total += server.entry.dataCentre == settings.ownDataCentre ? 0 : s_otherDataCentreMilliseconds;
     total += server.idleConnections > 0 ? 0 : s_newConnectionMilliseconds;
-    total += server.health.combinedFailureShare(now) * s_brokenMilliseconds;
-    total += s_overdueMilliseconds * std::min(server.overdue(now) + server.health.remoteOverdue(), s_maxOverdueCounted);
     return total;
 }
 
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -2,6 +2,7 @@
 
 #include "backends/backendregistry.h"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <set>
@@ -75,32 +76,40 @@
     std::unordered_map<std::uint64_t, Bucket> m_buckets;
 };
 
-/// Requests that this host has started recently on each server. The other hosts choose by the same reports and probably alike, but
-/// what they start is reported only later.
+/// Starts of this host within about the last report interval. The other hosts are taken to start as many each.
 class RecentStarts
 {
 public:
-    /// Until they are reported, starts count for about `reportInterval`.
-    auto add(std::uint64_t server, framework::Milliseconds reportInterval, framework::Instant now) -> void;
-
-    /// By how many requests the unreported starts of the other hosts on `server` probably exceed those on an average one of
-    /// `servers`; negative if they are fewer.
-    auto unreportedExcess(std::uint64_t server, std::size_t servers, int hosts, framework::Instant now) const -> double;
+    auto add(framework::Milliseconds interval, framework::Instant now) -> void;
+    auto count(framework::Instant now) const -> double;
 
 private:
-    /// Decays exponentially.
-    struct Count
-    {
-        auto at(framework::Instant now) const -> double;
-        auto add(framework::Milliseconds decayTime, framework::Instant now) -> void;
+    double m_count = 0; ///< decays exponentially
+    framework::Milliseconds m_interval{1};
+    framework::Instant m_updatedAt{};
+};
 
-        double value = 0;
-        framework::Milliseconds decayTime{1};
-        framework::Instant updatedAt{};
-    };
+/// What is known of one server to all hosts alike.
+struct ServerLoad
+{
+    double inFlight = 0; ///< reported requests that are expected to be still in progress
+    double slots = 1;
+    double slowness = 1; ///< ratio of request durations to those of other servers
+    double penalty = 0;  ///< cost of failures and overdue requests, in milliseconds
+};
+
+/// Where the other hosts have probably sent the requests that no report contains yet: they choose by the same reports, so that these
+/// requests go to the cheapest servers until all servers that get some cost the same.
+class UnreportedStarts
+{
+public:
+    UnreportedStarts(const std::vector<ServerLoad>& loads, double total);
 
-    std::unordered_map<std::uint64_t, Count> m_byServer;
-    Count m_all;
+    /// Expected number of these requests at a server.
+    auto at(const ServerLoad& load) const -> double;
+
+private:
+    double m_cost = 0; ///< of the servers that get some
 };
 
 /// Parameters of the choice that do not depend on the request.
@@ -124,6 +133,7 @@
     /// `seed` must differ between hosts, so that they start to use a cold server at different times.
     explicit BackendChoice(std::uint64_t seed)
         : m_coldStartLimiter(seed)
+        , m_random(static_cast<std::minstd_rand::result_type>(seed))
     {}
 
     /// Returns the server with the lowest expected cost, or null if no server may be used now.
@@ -135,12 +145,23 @@
                  framework::Instant now) -> void;
 
 private:
-    auto cost(const backends::Backend& server, const BackendRequirements& requirements, const ChoiceSettings& settings, double unreported,
-              framework::Instant now) const -> double;
+    struct Candidate
+    {
+        backends::BackendPtr server;
+        ServerLoad load;
+        double unreported = 0; ///< starts of other hosts that are expected there
+        double cost = 0;
+    };
+
+    auto candidates(const std::vector<backends::BackendPtr>& servers, const BackendRequirements& requirements,
+                    const ChoiceSettings& settings, framework::Instant now) -> std::vector<Candidate>;
+    auto cost(const backends::Backend& server, const ServerLoad& load, const BackendRequirements& requirements,
+              const ChoiceSettings& settings) const -> double;
 
     PromptCacheTracker m_promptCaches;
     ColdStartLimiter m_coldStartLimiter;
     RecentStarts m_recentStarts;
+    std::minstd_rand m_random;
     std::uint64_t m_rotation = 0;
 };
 
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -309,16 +309,17 @@
     }
     auto servers = framework::Json::array();
     for (const auto& [id, backend] : m_fleetState.backends().all()) {
-        servers.push_back({{"id", id},
-                           {"service", backend->entry.service},
-                           {"running", backend->running},
-                           {"elsewhere", backend->runningRemotely},
-                           {"failureShare", backend->health.failureShare(m_clock.now())},
-                           {"failureShareOfAll", backend->health.combinedFailureShare(m_clock.now())},
-                           {"overdue", backend->overdue(m_clock.now())},
-                           {"overdueElsewhere", backend->health.remoteOverdue()},
-                           {"slowness", backend->health.slowness()},
-                           {"isDraining", backend->entry.isDraining}});
+        servers.push_back(
+            {{"id", id},
+             {"service", backend->entry.service},
+             {"running", backend->running},
+             {"elsewhere", backend->runningRemotely},
+             {"failureShare", backend->health.failureShare(m_clock.now())},
+             {"failureShareOfAll", backend->health.combinedFailureShare(backend->running + backend->runningRemotely, m_clock.now())},
+             {"overdue", backend->overdue(m_clock.now())},
+             {"overdueElsewhere", backend->health.remoteOverdue()},
+             {"slowness", backend->health.slowness()},
+             {"isDraining", backend->entry.isDraining}});
     }
     const auto document = framework::Json{{"host", m_settings.host},
                                           {"isReady", isReady()},
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -214,7 +214,7 @@
         const auto found = reported.find(peers::backendHash(id));
         const auto remote = found == reported.end() ? peers::RemoteBackendLoad() : found->second;
         backend->runningRemotely = remote.running;
-        backend->health.setRemoteReports({.failureShares = remote.failureShares, .hosts = remote.hosts, .overdue = remote.overdue});
+        backend->health.setRemoteReports({.failureShares = remote.failureShares, .overdue = remote.overdue});
     }
 }
 
