--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -161,7 +161,7 @@
         peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->last.started_at() > since; }));
 }
 
-auto PeerTable::countRestartsHeardSince(Instant since, Instant now) const -> int
+auto PeerTable::countRestartsSeenSince(Instant since, Instant now) const -> int
 {
     const auto peers = reachablePeers(now);
     return static_cast<int>(std::ranges::count_if(
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -109,8 +109,8 @@
     /// Number of reachable hosts that were restarted after `since` (Unix milliseconds) and thus lost their state in memory.
     auto countRestartedSince(std::uint64_t since, framework::Instant now) const -> int;
 
-    /// Number of reachable hosts whose current incarnation, not their first one, was first heard after `since`.
-    auto countRestartsHeardSince(framework::Instant since, framework::Instant now) const -> int;
+    /// Number of reachable hosts whose current incarnation, not their first one, was first seen after `since`.
+    auto countRestartsSeenSince(framework::Instant since, framework::Instant now) const -> int;
 
     /// Addresses of removed hosts. Heartbeats are sent there occasionally: after a long network partition both sides have
     /// removed each other.
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -105,7 +105,7 @@
     auto timer = asio::steady_timer(m_executor);
     while (!m_isStopped) {
         const auto now = m_clock.now();
-        if (m_pace.isDue(fleetSize(), m_countNews.hasUrgentUpdate(m_state.limiter, now), now)) {
+        if (m_pace.isDue(fleetSize(), m_countUpdates.hasUrgentUpdate(m_state.limiter, now), now)) {
             m_pace.markSent(now);
             sendToAll();
             refreshBackends();
@@ -186,7 +186,7 @@
     heartbeat.set_operator_version(m_state.fleetState.operatorTable().newestRowVersion());
     heartbeat.set_backend_version(m_state.fleetState.backendTable().newestRowVersion());
     heartbeat.set_unwritten_turns(static_cast<std::uint32_t>(m_state.journal->unwritten()));
-    for (const auto& admission : m_countNews.take(m_state.limiter.admitted())) {
+    for (const auto& admission : m_countUpdates.take(m_state.limiter.admitted())) {
         auto* use = heartbeat.add_accounts();
         use->set_account(admission.account);
         use->set_admitted(admission.admitted);
@@ -378,9 +378,9 @@
 {
     const auto now = m_clock.now();
     if (!m_settings.isFirstStart && !m_state.store->directWay().hasAnswered()) {
-        return mayHaveUnknownTurns(); // This host started during the outage and has not heard of earlier restarts.
+        return mayHaveUnknownTurns(); // This host started during the outage and knows of no earlier restarts.
     }
-    return m_table.countRestartsHeardSince(m_storeOutageSince, now) >= s_turnHolders;
+    return m_table.countRestartsSeenSince(m_storeOutageSince, now) >= s_turnHolders;
 }
 
 auto FleetLink::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -108,7 +108,7 @@
     peers::PeerTable m_table;
     peers::PeerTransport m_port;
     peers::HeartbeatSchedule m_pace;
-    accounts::CountUpdates m_countNews;
+    accounts::CountUpdates m_countUpdates;
     std::uint64_t m_sequence = 0;
     /// Time of the last failed call, by address, of hosts from which no heartbeat has been received since.
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
