--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -76,6 +76,7 @@
         ++m_context.openRequests;
         auto request = co_await readRequest();
         if (request) {
+            m_context.requestsSinceStop += m_context.isStopping ? 1 : 0;
             co_await handle(std::move(*request));
         }
         --m_context.openRequests;
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -20,6 +20,7 @@
     const IWireCodec& wire;
     bool isStopping = false;
     int openRequests = 0;
+    int requestsSinceStop = 0; ///< requests read since the host began to stop
 };
 
 /// A caller's connection. Reads requests one after the other and writes their responses.
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -246,21 +246,45 @@
     const auto startedAt = m_clock.now();
     const auto end = startedAt + m_settings.stopGrace - s_exitReserve;
     auto timer = asio::steady_timer(m_context);
+    auto lastWait = std::string();
     m_link.announceLeave();
     while (m_clock.now() < end) {
         const auto isDrained = m_clock.now() >= startedAt + s_drainTime && closeIdleCallers();
         if (isDrained && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
             break;
         }
+        if (auto wait = stopWaitReason(isDrained); wait != lastWait) {
+            lastWait = std::move(wait);
+            logStop("stop_waits", startedAt, {{"for", lastWait}});
+        }
         timer.expires_after(s_stopPoll);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    framework::logEvent(LogLevel::Info, "serving", "stopped",
-                        {{"openRequests", m_callerContext.openRequests}, {"unwrittenTurns", m_journal.unwritten()}});
+    logStop("stopped", startedAt, {{"isGraceOver", m_clock.now() >= end}});
     framework::flushLog();
     m_context.stop();
 }
 
+auto EntryHost::stopWaitReason(bool isDrained) const -> std::string
+{
+    if (m_callerContext.openRequests > 0) {
+        return "requests";
+    }
+    if (!isDrained) {
+        return "connections";
+    }
+    return "unwritten_turns";
+}
+
+auto EntryHost::logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void
+{
+    fields["openRequests"] = m_callerContext.openRequests;
+    fields["unwrittenTurns"] = m_journal.unwritten();
+    fields["requestsSinceSignal"] = m_callerContext.requestsSinceStop;
+    fields["tookMs"] = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt).count();
+    framework::logEvent(LogLevel::Info, "serving", event, std::move(fields));
+}
+
 auto EntryHost::isReady() const -> bool
 {
     return !m_isStopping && m_fleetState.isComplete() && !m_link.isIsolated();
