--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -132,9 +132,16 @@
 auto EntryFleet::ask(std::size_t host, const Ask& request) -> Got
 {
     auto got = std::make_shared<std::optional<Got>>();
+    askThen(host, request, [got](const Got& answer) { *got = answer; });
+    until([got] { return got->has_value(); });
+    return got->value_or(Got());
+}
+
+auto EntryFleet::askThen(std::size_t host, const Ask& request, std::function<void(const Got&)> handler) -> void
+{
     asio::co_spawn(
         m_context,
-        [this, host, text = requestText(request), got]() -> asio::awaitable<void> {
+        [this, host, text = requestText(request), handler = std::move(handler)]() -> asio::awaitable<void> {
             auto socket = asio::ip::tcp::socket(m_context);
             auto error = boost::system::error_code();
             co_await socket.async_connect(callerEndpoint(host), asio::redirect_error(asio::use_awaitable, error));
@@ -143,14 +150,12 @@
             auto parser = http::response_parser<http::string_body>();
             co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             const auto& response = parser.get();
-            *got = Got{.status = response.result_int(),
-                       .body = response.body(),
-                       .retryAfter = std::string(response["Retry-After"]),
-                       .isWhole = !error};
+            handler(Got{.status = response.result_int(),
+                        .body = response.body(),
+                        .retryAfter = std::string(response["Retry-After"]),
+                        .isWhole = !error});
         },
         asio::detached);
-    until([got] { return got->has_value(); });
-    return got->value_or(Got());
 }
 
 auto EntryFleet::sendRaw(std::size_t host, const std::string& bytes) -> std::string
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -43,6 +43,9 @@
     /// Sends a request on a connection of its own and waits for its end.
     auto ask(std::size_t host, const Ask& request) -> Got;
 
+    /// Sends a request on a connection of its own; `handler` is called with what came back.
+    auto askThen(std::size_t host, const Ask& request, std::function<void(const Got&)> handler) -> void;
+
     /// Sends bytes as they are; returns all that came back until the connection ended or nothing came for a while.
     auto sendRaw(std::size_t host, const std::string& bytes) -> std::string;
 
