A stopping host accepts only what it can complete before its end

Cause: a stopping host accepted every request until it had nothing open, or until 0.7 s before its kill. Callers keep coming to a stopping host where most hosts of a data centre stop, so that the first never happened and the second cut off what was accepted last. Its class: work is accepted without regard to the remaining lifetime of who accepts it.

Change: ShutdownSchedule, without I/O, decides what a stopping host accepts: everything until load balancers have had time to notice, then what ends by its deadline with time left to write its turn; the rest is refused as not run, with a time to come back, on a connection that closes.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -76,7 +76,7 @@
         ++m_context.openRequests;
         auto request = co_await readRequest();
         if (request) {
-            m_context.requestsSinceStop += m_context.isStopping ? 1 : 0;
+            m_context.requestsSinceStop += m_context.servingContext.shutdown.hasBegun() ? 1 : 0;
             co_await handle(std::move(*request));
         }
         --m_context.openRequests;
@@ -84,7 +84,7 @@
         if (!request) {
             break;
         }
-        m_keepAlive = m_keepAlive && !m_context.isStopping;
+        m_keepAlive = m_keepAlive && !m_context.servingContext.shutdown.hasBegun();
     }
     close();
 }
@@ -243,7 +243,7 @@
     }
     const auto body = fmt::format(R"({{"error":"{}"}})", framework::nameOf(s_refusalNames, refusal));
     text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", body.size());
-    text += m_keepAlive && !m_context.isStopping ? "\r\n" : "Connection: close\r\n\r\n";
+    text += m_keepAlive && !m_context.servingContext.shutdown.hasBegun() ? "\r\n" : "Connection: close\r\n\r\n";
     co_await write(text + (m_isHeadRequest ? "" : body));
 }
 
@@ -256,7 +256,7 @@
         }
     }
     text += framing;
-    return text + (m_keepAlive && !m_context.isStopping ? "\r\n" : "Connection: close\r\n\r\n");
+    return text + (m_keepAlive && !m_context.servingContext.shutdown.hasBegun() ? "\r\n" : "Connection: close\r\n\r\n");
 }
 
 auto CallerConnection::sendWhole(const http::response_header<>& head, std::string body) -> Async<bool>
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -18,7 +18,6 @@
 {
     ServingContext& servingContext;
     const IWireCodec& wire;
-    bool isStopping = false;
     int openRequests = 0;
     int requestsSinceStop = 0; ///< requests read since the host began to stop
 };
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -31,12 +31,6 @@
 
 constexpr auto s_logPeriod = Milliseconds(100);
 
-/// The load balancer probes hosts once a second and removes a host after two failed probes; callers connect until then.
-constexpr auto s_drainTime = Milliseconds(2'500);
-
-/// Part of the stop grace period that is reserved for the exit of the process.
-constexpr auto s_exitReserve = Milliseconds(700);
-
 constexpr auto s_stopPoll = Milliseconds(50);
 constexpr auto s_announceRetry = Milliseconds(1'000);
 constexpr auto s_hostRows = 500;
@@ -83,6 +77,7 @@
                        .backendClient = m_backendClient,
                        .latencies = m_latencies,
                        .quarantine = m_quarantine,
+                       .shutdown = m_shutdown,
                        .dataCentre = m_settings.dataCentre,
                        .admission = m_admission,
                        .fleetSize = [this] { return m_link.fleetSize(); },
@@ -120,11 +115,10 @@
 
 auto EntryHost::stop() -> void
 {
-    if (m_isStopping) {
+    if (m_shutdown.hasBegun()) {
         return;
     }
-    m_isStopping = true;
-    m_callerContext.isStopping = true;
+    m_shutdown.begin(m_clock.now(), m_settings.stopGrace);
     framework::logEvent(LogLevel::Info, "serving", "stopping", {{"openRequests", m_callerContext.openRequests}});
     asio::co_spawn(m_context, drainAndStop(), asio::detached);
 }
@@ -222,7 +216,7 @@
 auto EntryHost::announce() -> Async<void>
 {
     auto timer = asio::steady_timer(m_context);
-    while (!m_isStopping) {
+    while (!m_shutdown.hasBegun()) {
         auto transaction = store::Transaction();
         transaction.puts.push_back(
             {.address = {.table = "hosts", .partition = {}, .key = m_settings.host}, .value = m_settings.peerAddress});
@@ -244,12 +238,11 @@
 auto EntryHost::drainAndStop() -> Async<void>
 {
     const auto startedAt = m_clock.now();
-    const auto end = startedAt + m_settings.stopGrace - s_exitReserve;
     auto timer = asio::steady_timer(m_context);
     auto lastWait = std::string();
     m_link.announceLeave();
-    while (m_clock.now() < end) {
-        const auto isDrained = m_clock.now() >= startedAt + s_drainTime && closeIdleCallers();
+    while (!m_shutdown.mustEnd(m_clock.now())) {
+        const auto isDrained = m_shutdown.isDrained(m_clock.now()) && closeIdleCallers();
         if (isDrained && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
             break;
         }
@@ -260,7 +253,7 @@
         timer.expires_after(s_stopPoll);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    logStop("stopped", startedAt, {{"isGraceOver", m_clock.now() >= end}});
+    logStop("stopped", startedAt, {{"isGraceOver", m_shutdown.mustEnd(m_clock.now())}});
     framework::flushLog();
     m_context.stop();
 }
@@ -287,7 +280,7 @@
 
 auto EntryHost::isReady() const -> bool
 {
-    return !m_isStopping && m_fleetState.isComplete() && !m_link.isIsolated();
+    return !m_shutdown.hasBegun() && m_fleetState.isComplete() && !m_link.isIsolated();
 }
 
 auto EntryHost::closeIdleCallers() -> bool
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -31,7 +31,7 @@
 
     auto start() -> void;
 
-    /// Stops accepting callers, completes the requests in progress, then stops the context.
+    /// Announces that this host leaves, completes what it has accepted, then stops the context.
     auto stop() -> void;
 
     /// Whether the load balancer should send callers to this host.
@@ -69,6 +69,7 @@
     FleetState m_fleetState;
     accounts::FleetLimiter m_limiter;
     Quarantine m_quarantine;
+    ShutdownSchedule m_shutdown;
     SharedState m_shared;
     FleetLink m_link;
     store::RoutedStore m_store;
@@ -89,7 +90,6 @@
     std::list<std::weak_ptr<CallerConnection>> m_callers;
     std::int64_t m_limitsVersion = -1;
     bool m_isFlushing = false;
-    bool m_isStopping = false;
 };
 
 } // namespace laburnummill::serving
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -57,6 +57,9 @@
     auto refusal = admit();
     if (!refusal) {
         startDeadline();
+        refusal = checkShutdown();
+    }
+    if (!refusal) {
         watchCaller();
         co_await determinePhase();
         refusal = co_await applyRateLimit();
@@ -125,6 +128,11 @@
     return std::nullopt;
 }
 
+auto RequestHandler::checkShutdown() const -> std::optional<Refusal>
+{
+    return m_context.shutdown.mayAccept(m_context.clock.now(), m_deadline) ? std::nullopt : std::optional(Refusal::Stopping);
+}
+
 auto RequestHandler::applyRateLimit() -> Async<std::optional<Refusal>>
 {
     if (m_account.empty()) {
@@ -288,6 +296,7 @@
     case Refusal::NotRun:
     case Refusal::TimedOutUnsent:
     case Refusal::Isolated:
+    case Refusal::Stopping:
         return s_retrySoon;
     case Refusal::ServersFull:
         return s_retryRateLimited + Milliseconds(framework::hash64(m_request.id) % s_retrySpreadMilliseconds);
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -12,6 +12,7 @@
 #include "serving/fleetstate.h"
 #include "serving/latencytracker.h"
 #include "serving/quarantine.h"
+#include "serving/shutdownschedule.h"
 #include "serving/streamcontinuation.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -32,6 +33,7 @@
     BackendClient& backendClient;
     LatencyTracker& latencies;
     Quarantine& quarantine;
+    const ShutdownSchedule& shutdown;
     std::string dataCentre;
     scheduling::Admission& admission;
     std::function<int()> fleetSize;
@@ -66,6 +68,7 @@
 private:
     auto forward(std::string_view bytes) -> framework::Async<bool>;
     auto admit() -> std::optional<Refusal>;
+    auto checkShutdown() const -> std::optional<Refusal>;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
     /// Determines whether the request starts a program.
     auto determinePhase() -> framework::Async<void>;
--- a/src/serving/servingerrors.cpp
+++ b/src/serving/servingerrors.cpp
@@ -30,6 +30,7 @@
     case Refusal::TooLate:
     case Refusal::Quarantined:
     case Refusal::StoreUnreachable:
+    case Refusal::Stopping:
     case Refusal::Isolated:
     case Refusal::NotRun:
     case Refusal::TimedOutUnsent:
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -21,6 +21,7 @@
     TooLate,          ///< it cannot be answered before its deadline
     Quarantined,      ///< it repeatedly crashed servers that ran it
     StoreUnreachable, ///< no more unwritten turns can be held
+    Stopping,         ///< this host is stopping and would end before the request's deadline
     Isolated,         ///< this host is isolated; a host of another data centre should serve the request
     NotRun,           ///< every server that was tried stated that it did not run it
     Lost,             ///< it may have run, but its response is lost
@@ -33,7 +34,7 @@
 /// HTTP status of the response to `refusal`. 429, 402, 404 and 503 mean that the request was not run.
 auto statusOf(Refusal refusal) -> unsigned;
 
-inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 21>{{
+inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 22>{{
     {Refusal::NoConfiguration, "no_configuration"},
     {Refusal::UnknownRoute, "unknown_route"},
     {Refusal::UnknownKey, "unknown_key"},
@@ -48,6 +49,7 @@
     {Refusal::TooLate, "too_late"},
     {Refusal::Quarantined, "quarantined"},
     {Refusal::StoreUnreachable, "store_away"},
+    {Refusal::Stopping, "stopping"},
     {Refusal::Isolated, "isolated"},
     {Refusal::NotRun, "not_run"},
     {Refusal::Lost, "lost"},
--- /dev/null
+++ b/src/serving/shutdownschedule.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+
+namespace laburnummill::serving {
+
+/// Decides which requests a host that was asked to stop still accepts, and when it ends.
+///
+/// Callers may reach a stopping host until it ends: load balancers notice its state late, and send callers to all hosts of a data
+/// centre if most of them are stopping. Whatever the host accepts must be complete before it ends.
+class ShutdownSchedule
+{
+public:
+    /// Starts the shutdown; the process is killed at `now` + `gracePeriod`.
+    auto begin(framework::Instant now, framework::Milliseconds gracePeriod) -> void;
+
+    auto hasBegun() const -> bool { return m_hasBegun; }
+
+    /// Whether a request that ends by `deadline` may be accepted.
+    auto mayAccept(framework::Instant now, framework::Instant deadline) const -> bool;
+
+    /// Whether load balancers have had time to notice that this host is stopping.
+    auto isDrained(framework::Instant now) const -> bool { return now >= m_drainedAt; }
+
+    /// Whether the host must end now, whatever is in progress.
+    auto mustEnd(framework::Instant now) const -> bool { return now >= m_end; }
+
+private:
+    bool m_hasBegun = false;
+    framework::Instant m_drainedAt{};
+    framework::Instant m_end{};
+};
+
+} // namespace laburnummill::serving
