--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -32,6 +32,7 @@
 constexpr auto s_logPeriod = Milliseconds(100);
 
 constexpr auto s_stopPoll = Milliseconds(50);
+constexpr auto s_stopLogInterval = Milliseconds(1'000);
 constexpr auto s_announceRetry = Milliseconds(1'000);
 constexpr auto s_hostRows = 500;
 
@@ -239,16 +240,16 @@
 {
     const auto startedAt = m_clock.now();
     auto timer = asio::steady_timer(m_context);
-    auto lastWait = std::string();
+    auto nextLogAt = startedAt;
     m_link.announceLeave();
     while (!m_shutdown.mustEnd(m_clock.now())) {
         const auto isDrained = m_shutdown.isDrained(m_clock.now()) && closeIdleCallers();
         if (isDrained && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
             break;
         }
-        if (auto wait = stopWaitReason(isDrained); wait != lastWait) {
-            lastWait = std::move(wait);
-            logStop("stop_waits", startedAt, {{"for", lastWait}});
+        if (m_clock.now() >= nextLogAt) {
+            nextLogAt = m_clock.now() + s_stopLogInterval;
+            logStop("stop_waits", startedAt, {{"for", stopWaitReason(isDrained)}});
         }
         timer.expires_after(s_stopPoll);
         co_await timer.async_wait(asio::use_awaitable);
@@ -258,7 +259,7 @@
     m_context.stop();
 }
 
-auto EntryHost::stopWaitReason(bool isDrained) const -> std::string
+auto EntryHost::stopWaitReason(bool isDrained) const -> std::string_view
 {
     if (m_callerContext.openRequests > 0) {
         return "requests";
