A stopping host with a short grace period accepts only what it can complete, too

Change: the bound by the deadline holds from the signal on. The test that expected everything to be accepted at first is replaced by one that expects the bound at every moment and for every timeout. What a stop waits for in its first 2.5 s is logged as load_balancers, no longer as connections.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -76,7 +76,7 @@
         ++m_context.openRequests;
         auto request = co_await readRequest();
         if (request) {
-            m_context.requestsSinceStop += m_context.servingContext.shutdown.hasBegun() ? 1 : 0;
+            m_context.requestsSinceSignal += m_context.servingContext.shutdown.hasBegun() ? 1 : 0;
             co_await handle(std::move(*request));
         }
         --m_context.openRequests;
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -19,7 +19,7 @@
     ServingContext& servingContext;
     const IWireCodec& wire;
     int openRequests = 0;
-    int requestsSinceStop = 0; ///< requests read since the host began to stop
+    int requestsSinceSignal = 0; ///< requests read since the host began to stop
 };
 
 /// A caller's connection. Reads requests one after the other and writes their responses.
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -243,13 +243,14 @@
     auto nextLogAt = startedAt;
     m_link.announceLeave();
     while (!m_shutdown.mustEnd(m_clock.now())) {
-        const auto isDrained = m_shutdown.isDrained(m_clock.now()) && closeIdleCallers();
-        if (isDrained && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
+        const auto haveBalancersNoticed = m_shutdown.haveBalancersNoticed(m_clock.now());
+        const auto areCallersClosed = haveBalancersNoticed && closeIdleCallers();
+        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
             break;
         }
         if (m_clock.now() >= nextLogAt) {
             nextLogAt = m_clock.now() + s_stopLogInterval;
-            logStop("stop_waits", startedAt, {{"for", stopWaitReason(isDrained)}});
+            logStop("stop_waits", startedAt, {{"for", stopWaitReason(haveBalancersNoticed, areCallersClosed)}});
         }
         timer.expires_after(s_stopPoll);
         co_await timer.async_wait(asio::use_awaitable);
@@ -259,22 +260,22 @@
     m_context.stop();
 }
 
-auto EntryHost::stopWaitReason(bool isDrained) const -> std::string_view
+auto EntryHost::stopWaitReason(bool haveBalancersNoticed, bool areCallersClosed) const -> std::string_view
 {
     if (m_callerContext.openRequests > 0) {
         return "requests";
     }
-    if (!isDrained) {
-        return "connections";
+    if (!haveBalancersNoticed) {
+        return "load_balancers";
     }
-    return "unwritten_turns";
+    return areCallersClosed ? "unwritten_turns" : "connections";
 }
 
 auto EntryHost::logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void
 {
     fields["openRequests"] = m_callerContext.openRequests;
     fields["unwrittenTurns"] = m_journal.unwritten();
-    fields["requestsSinceSignal"] = m_callerContext.requestsSinceStop;
+    fields["requestsSinceSignal"] = m_callerContext.requestsSinceSignal;
     fields["tookMs"] = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt).count();
     framework::logEvent(LogLevel::Info, "serving", event, std::move(fields));
 }
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -52,7 +52,7 @@
     auto announce() -> framework::Async<void>;
     auto drainAndStop() -> framework::Async<void>;
     /// What a stopping host still waits for.
-    auto stopWaitReason(bool isDrained) const -> std::string_view;
+    auto stopWaitReason(bool haveBalancersNoticed, bool areCallersClosed) const -> std::string_view;
     auto logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void;
     auto applyLimits() -> void;
     /// Returns whether all callers' connections are closed.
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -130,7 +130,7 @@
 
 auto RequestHandler::checkShutdown() const -> std::optional<Refusal>
 {
-    return m_context.shutdown.mayAccept(m_context.clock.now(), m_deadline) ? std::nullopt : std::optional(Refusal::Stopping);
+    return m_context.shutdown.mayAccept(m_deadline) ? std::nullopt : std::optional(Refusal::Stopping);
 }
 
 auto RequestHandler::applyRateLimit() -> Async<std::optional<Refusal>>
--- a/src/serving/shutdownschedule.h
+++ b/src/serving/shutdownschedule.h
@@ -16,18 +16,18 @@
 
     auto hasBegun() const -> bool { return m_hasBegun; }
 
-    /// Whether a request that ends by `deadline` may be accepted.
-    auto mayAccept(framework::Instant now, framework::Instant deadline) const -> bool;
+    /// Whether a request that ends by `deadline` may be accepted: the host ends later.
+    auto mayAccept(framework::Instant deadline) const -> bool;
 
     /// Whether load balancers have had time to notice that this host is stopping.
-    auto isDrained(framework::Instant now) const -> bool { return now >= m_drainedAt; }
+    auto haveBalancersNoticed(framework::Instant now) const -> bool { return now >= m_noticedAt; }
 
     /// Whether the host must end now, whatever is in progress.
     auto mustEnd(framework::Instant now) const -> bool { return now >= m_end; }
 
 private:
     bool m_hasBegun = false;
-    framework::Instant m_drainedAt{};
+    framework::Instant m_noticedAt{};
     framework::Instant m_end{};
 };
 
--- a/src/serving/tests/shutdownscheduletest.cpp
+++ b/src/serving/tests/shutdownscheduletest.cpp
@@ -18,7 +18,7 @@
 
     auto mayAccept(int at, int timeout) const->bool
     {
-        return schedule.mayAccept(after(at), after(at + timeout));
+        return schedule.mayAccept(after(at + timeout));
     }
 };
 
@@ -34,17 +34,16 @@
 }
 ;
 
-TEST(ShutdownScheduleOfAStoppingHost, acceptsEverythingUntilLoadBalancersHaveNoticed)
+TEST(ShutdownScheduleOfAStoppingHost, keepsIdleConnectionsUntilLoadBalancersHaveNoticed)
 {
     CHECK_TRUE(schedule.hasBegun());
-    CHECK_TRUE(mayAccept(2'400, 4'000));
-    CHECK_TRUE(mayAccept(2'400, 60'000));
-    CHECK_FALSE(schedule.isDrained(after(2'400)));
-    CHECK_TRUE(schedule.isDrained(after(2'500)));
+    CHECK_FALSE(schedule.haveBalancersNoticed(after(2'400)));
+    CHECK_TRUE(schedule.haveBalancersNoticed(after(2'500)));
 }
 
-TEST(ShutdownScheduleOfAStoppingHost, thenAcceptsWhatIsCompleteBeforeItsEnd)
+TEST(ShutdownScheduleOfAStoppingHost, acceptsOnlyWhatIsCompleteBeforeItsEnd)
 {
+    CHECK_FALSE(mayAccept(0, 60'000));
     CHECK_TRUE(mayAccept(2'600, 4'000));
     CHECK_FALSE(mayAccept(2'700, 4'000));
     CHECK_TRUE(mayAccept(5'400, 1'200));
@@ -60,9 +59,21 @@
 
 TEST(ShutdownScheduleOfAStoppingHost, whatItAcceptsLateIsCompleteBeforeItMustEndForEveryTimeout)
 {
-    for (auto at = 2'500; at < 8'000; at += 20) {
+    for (auto at = 0; at < 8'000; at += 20) {
         for (auto timeout = 20; timeout < 8'000; timeout += 20) {
             CHECK_TRUE(!mayAccept(at, timeout) || !schedule.mustEnd(after(at + timeout)));
         }
     }
 }
+
+TEST(ShutdownSchedule, aShortGracePeriodStillEndsWithWhatWasAcceptedComplete)
+{
+    for (const auto grace : {2'000, 3'000, 4'000}) {
+        auto stopping = ShutdownSchedule();
+        stopping.begin(signal, Milliseconds(grace));
+        for (auto at = 0; at < grace; at += 20) {
+            const auto deadline = after(at + 1'000);
+            CHECK_TRUE(!stopping.mayAccept(deadline) || !stopping.mustEnd(deadline));
+        }
+    }
+}
