A request that has arrived behind another one on its connection is answered before a stopping host closes it

Change: whether a connection closes is decided once, as the head of an answer is written, and said there; a request that has already arrived keeps it open. A connection whose answer had begun before the signal stays open until idle connections are closed, in place of closing unannounced.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -84,7 +84,6 @@
         if (!request) {
             break;
         }
-        m_keepAlive = m_keepAlive && !m_context.servingContext.shutdown.hasBegun();
     }
     close();
 }
@@ -243,11 +242,11 @@
     }
     const auto body = fmt::format(R"({{"error":"{}"}})", framework::nameOf(s_refusalNames, refusal));
     text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", body.size());
-    text += m_keepAlive && !m_context.servingContext.shutdown.hasBegun() ? "\r\n" : "Connection: close\r\n\r\n";
+    text += connectionField();
     co_await write(text + (m_isHeadRequest ? "" : body));
 }
 
-auto CallerConnection::formatHead(const http::response_header<>& head, std::string_view framing) const -> std::string
+auto CallerConnection::formatHead(const http::response_header<>& head, std::string_view framing) -> std::string
 {
     auto text = fmt::format("HTTP/1.1 {} {}\r\n", head.result_int(), std::string(head.reason()));
     for (const auto& field : head) {
@@ -256,7 +255,15 @@
         }
     }
     text += framing;
-    return text + (m_keepAlive && !m_context.servingContext.shutdown.hasBegun() ? "\r\n" : "Connection: close\r\n\r\n");
+    return text.append(connectionField());
+}
+
+auto CallerConnection::connectionField() -> std::string_view
+{
+    // A caller does not read further responses after one with 'close', so a request that has already arrived is answered first.
+    const auto hasFurtherRequest = m_buffer.size() > 0 || hasPendingBytes(m_socket.native_handle());
+    m_keepAlive = m_keepAlive && (hasFurtherRequest || !m_context.servingContext.shutdown.hasBegun());
+    return m_keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
 }
 
 auto CallerConnection::sendWhole(const http::response_header<>& head, std::string body) -> Async<bool>
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -53,7 +53,9 @@
     auto handle(CallerRequest request) -> framework::Async<void>;
     auto watchForDisconnect() -> void;
     auto write(std::string text) -> framework::Async<bool>;
-    auto formatHead(const http::response_header<>& head, std::string_view framing) const -> std::string;
+    auto formatHead(const http::response_header<>& head, std::string_view framing) -> std::string;
+    /// Decides whether the connection closes after the response that begins now; returns the field that says so and the end of the head.
+    auto connectionField() -> std::string_view;
     auto limits() const -> routing::CallerLimits;
     auto close() -> void;
 
