Fault soak: stops of hosts are checked for requests that they cut off

The soak had no check of what callers see when a host stops, and callers left a stopping host early, as they chose among all hosts at random. The promise GracefulStop judges each request that reached a host around its stop. A load balancer probes the hosts, and uses all of a data centre once fewer than half of its hosts are in rotation. New mixtures roll the hosts of a data centre one after the other, with planned work alone or while the store is away.

--- a/testing/faultsoak/faultplan.cpp
+++ b/testing/faultsoak/faultplan.cpp
@@ -3,6 +3,7 @@
 #include "framework/global/nametable.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace laburnummill::testing {
@@ -11,7 +12,7 @@
 
 using framework::Milliseconds;
 
-constexpr auto s_faultNames = framework::NameTable<FaultKind, 28>{{
+constexpr auto s_faultNames = framework::NameTable<FaultKind, 29>{{
     {FaultKind::HostKilled, "host_killed"},
     {FaultKind::HostFrozen, "host_frozen"},
     {FaultKind::HostRolled, "host_rolled"},
@@ -40,8 +41,25 @@
     {FaultKind::EnginePathReset, "engine_path_reset"},
     {FaultKind::EngineDrains, "engine_drains"},
     {FaultKind::KeyWithdrawn, "key_withdrawn"},
+    {FaultKind::DataCentreRolled, "data_centre_rolled"},
 }};
 
+constexpr auto s_mixtureNames = framework::NameTable<Mixture, 3>{{
+    {Mixture::All, "all"},
+    {Mixture::Planned, "planned"},
+    {Mixture::Rolls, "rolls"},
+}};
+
+/// The last kind, DataCentreRolled, is left to the other mixtures.
+constexpr auto s_kindsOfAll = s_faultNames.size() - 1;
+
+/// Twice in a list: comes twice as often.
+constexpr auto s_plannedKinds = std::array{FaultKind::DataCentreRolled, FaultKind::DataCentreRolled, FaultKind::HostRolled,
+                                           FaultKind::HostReloaded,     FaultKind::KeyWithdrawn,     FaultKind::EngineDrains};
+constexpr auto s_rollsKinds = std::array{FaultKind::DataCentreRolled, FaultKind::DataCentreRolled, FaultKind::HostReloaded,
+                                         FaultKind::KeyWithdrawn,     FaultKind::EngineDrains,     FaultKind::StoreBusy,
+                                         FaultKind::StoreTooMany,     FaultKind::StoreSilent,      FaultKind::StoreLosesAnswers};
+
 /// On the platform's days troubles come every few seconds.
 constexpr auto s_meanGap = Milliseconds(1'200);
 constexpr auto s_shortest = Milliseconds(200);
@@ -49,13 +67,22 @@
 constexpr auto s_longestSeries = 3;
 constexpr auto s_targets = 60;
 
+/// Hosts of a data centre that are rolled at a time, and the gap between two.
+constexpr auto s_leastRolled = 2;
+constexpr auto s_mostRolled = 6;
+constexpr auto s_shortestGap = Milliseconds(500);
+constexpr auto s_longestGap = Milliseconds(2'000);
+
+/// A host that is rolled is gone and back within this time.
+constexpr auto s_rollTime = Milliseconds(5'000);
+
 /// Around an outage of the store within which losses of hosts count together: records are written soon after its return.
 constexpr auto s_outageMargin = Milliseconds(4'000);
 constexpr auto s_lossesBorne = 2;
 
 auto losesMemory(FaultKind kind) -> bool
 {
-    return kind == FaultKind::HostKilled || kind == FaultKind::HostRolled;
+    return kind == FaultKind::HostKilled || kind == FaultKind::HostRolled || kind == FaultKind::DataCentreRolled;
 }
 
 auto takesStoreAway(FaultKind kind) -> bool
@@ -83,6 +110,19 @@
     }
 }
 
+auto drawKind(std::uint64_t random, Mixture mixture) -> FaultKind
+{
+    switch (mixture) {
+    case Mixture::Planned:
+        return s_plannedKinds[random % s_plannedKinds.size()];
+    case Mixture::Rolls:
+        return s_rollsKinds[random % s_rollsKinds.size()];
+    case Mixture::All:
+        break;
+    }
+    return s_faultNames[random % s_kindsOfAll].first;
+}
+
 } // namespace
 
 auto nameOf(FaultKind kind) -> std::string_view
@@ -90,7 +130,17 @@
     return framework::nameOf(s_faultNames, kind);
 }
 
-auto drawFaults(std::uint64_t seed, Milliseconds length) -> std::vector<Fault>
+auto nameOf(Mixture mixture) -> std::string_view
+{
+    return framework::nameOf(s_mixtureNames, mixture);
+}
+
+auto mixtureOf(std::string_view name) -> std::optional<Mixture>
+{
+    return framework::valueOf(s_mixtureNames, name);
+}
+
+auto drawFaults(std::uint64_t seed, Milliseconds length, Mixture mixture) -> std::vector<Fault>
 {
     auto random = std::mt19937_64(seed);
     const auto between = [&random](Milliseconds least, Milliseconds most) {
@@ -98,7 +148,17 @@
     };
     auto faults = std::vector<Fault>();
     for (auto at = between(Milliseconds(500), Milliseconds(1'500)); at < length; at += between(Milliseconds(100), 2 * s_meanGap)) {
-        const auto kind = s_faultNames[random() % s_faultNames.size()].first;
+        const auto kind = drawKind(random(), mixture);
+        if (kind == FaultKind::DataCentreRolled) {
+            const auto target = static_cast<int>(random() % s_targets);
+            const auto hosts = s_leastRolled + static_cast<int>(random() % (s_mostRolled - s_leastRolled + 1));
+            auto began = at;
+            for (auto turn = 0; turn < hosts && began + s_rollTime < length; ++turn) {
+                faults.push_back({.kind = kind, .at = began, .time = s_rollTime, .target = target, .turn = turn});
+                began += between(s_shortestGap, s_longestGap);
+            }
+            continue;
+        }
         const auto series = 1 + static_cast<int>(random() % s_longestSeries);
         auto began = at;
         for (auto number = 0; number < series; ++number) {
--- a/testing/faultsoak/faultplan.h
+++ b/testing/faultsoak/faultplan.h
@@ -3,6 +3,7 @@
 #include "framework/global/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -38,6 +39,7 @@
     EnginePathReset,
     EngineDrains,
     KeyWithdrawn,
+    DataCentreRolled, ///< one host after another, each as HostRolled
 };
 
 struct Fault
@@ -46,14 +48,26 @@
     framework::Milliseconds at{0};
     framework::Milliseconds time{0}; ///< how long it lasts
     int target = 0;                  ///< of what it meets, by its number
+    int turn = 0;                    ///< place in the order in which a data centre's hosts are rolled
 
     auto operator==(const Fault&) const -> bool = default;
 };
 
 auto nameOf(FaultKind kind) -> std::string_view;
 
+/// Which faults a run draws from.
+enum class Mixture
+{
+    All,     ///< but DataCentreRolled
+    Planned, ///< stops, reloads, keys withdrawn, servers that drain: nothing unplanned
+    Rolls,   ///< the planned ones, while the store is away
+};
+
+auto nameOf(Mixture mixture) -> std::string_view;
+auto mixtureOf(std::string_view name) -> std::optional<Mixture>;
+
 /// Faults in series that overlap, the same for the same seed. What was acknowledged while the store was away is held by
 /// three hosts: no more than two of them are lost from shortly before such an outage until shortly after it.
-auto drawFaults(std::uint64_t seed, framework::Milliseconds length) -> std::vector<Fault>;
+auto drawFaults(std::uint64_t seed, framework::Milliseconds length, Mixture mixture = Mixture::All) -> std::vector<Fault>;
 
 } // namespace laburnummill::testing
--- a/testing/faultsoak/faultplayer.cpp
+++ b/testing/faultsoak/faultplayer.cpp
@@ -1,5 +1,7 @@
 #include "faultplayer.h"
 
+#include "framework/global/systemclock.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -60,9 +62,10 @@
 
 } // namespace
 
-FaultPlayer::FaultPlayer(asio::io_context& context, SoakFleet& fleet, std::vector<Fault> faults)
+FaultPlayer::FaultPlayer(asio::io_context& context, SoakFleet& fleet, StopRecord& stops, std::vector<Fault> faults)
     : m_context(context)
     , m_fleet(fleet)
+    , m_stops(stops)
     , m_faults(std::move(faults))
 {}
 
@@ -81,16 +84,84 @@
 {
     const auto fault = m_faults[number];
     co_await rest(fault.at);
-    if (fault.kind == FaultKind::HostRolled) {
+    if (fault.kind == FaultKind::HostRolled || fault.kind == FaultKind::DataCentreRolled) {
         co_await roll(hostOf(fault));
     } else {
+        recordBegin(fault);
         begin(number);
         co_await rest(fault.time);
         end(number);
+        recordEnd(fault);
     }
     --m_underWay;
 }
 
+auto FaultPlayer::hostOf(const Fault& fault) const -> int
+{
+    if (fault.kind != FaultKind::DataCentreRolled) {
+        return fault.target % m_fleet.hosts();
+    }
+    const auto dataCentre = fault.target % m_fleet.dataCentres();
+    const auto hosts = (m_fleet.hosts() - dataCentre + m_fleet.dataCentres() - 1) / m_fleet.dataCentres();
+    return dataCentre + (fault.turn % hosts) * m_fleet.dataCentres();
+}
+
+auto FaultPlayer::placesOf(const Fault& fault) const -> std::vector<Place>
+{
+    const auto host = Place{.kind = Place::Kind::Host, .number = hostOf(fault)};
+    const auto engine = Place{.kind = Place::Kind::Engine, .number = engineOf(fault)};
+    if (storeFaultOf(fault.kind)) {
+        return {{.kind = Place::Kind::Store}};
+    }
+    if (engineFaultOf(fault)) {
+        return {engine};
+    }
+    switch (fault.kind) {
+    case FaultKind::HostRolled:
+    case FaultKind::HostReloaded:
+    case FaultKind::DataCentreRolled:
+    case FaultKind::EngineDrains:
+    case FaultKind::KeyWithdrawn:
+        return {}; // Planned.
+    case FaultKind::StoreHistoryDropped:
+        return {{.kind = Place::Kind::Store}};
+    case FaultKind::EnginePathCut:
+    case FaultKind::EnginePathReset:
+        return {engine};
+    case FaultKind::DataCentresCut:
+    case FaultKind::DataCentresCutOneWay:
+        return hostsOfBoth(fault.target % m_fleet.dataCentres());
+    default:
+        return {host};
+    }
+}
+
+auto FaultPlayer::hostsOfBoth(int dataCentre) const -> std::vector<Place>
+{
+    auto places = std::vector<Place>();
+    for (auto host = 0; host < m_fleet.hosts(); ++host) {
+        const auto from = m_fleet.dataCentreOf(host);
+        if (from == dataCentre || from == (dataCentre + 1) % m_fleet.dataCentres()) {
+            places.push_back({.kind = Place::Kind::Host, .number = host});
+        }
+    }
+    return places;
+}
+
+auto FaultPlayer::recordBegin(const Fault& fault) -> void
+{
+    for (const auto place : placesOf(fault)) {
+        m_stops.faultBegan(place, framework::SystemClock().now());
+    }
+}
+
+auto FaultPlayer::recordEnd(const Fault& fault) -> void
+{
+    for (const auto place : placesOf(fault)) {
+        m_stops.faultEnded(place, framework::SystemClock().now());
+    }
+}
+
 auto FaultPlayer::begin(std::size_t number) -> void
 {
     const auto& fault = m_faults[number];
--- a/testing/faultsoak/faultplayer.h
+++ b/testing/faultsoak/faultplayer.h
@@ -33,7 +33,7 @@
 class FaultPlayer
 {
 public:
-    FaultPlayer(asio::io_context& context, SoakFleet& fleet, std::vector<Fault> faults);
+    FaultPlayer(asio::io_context& context, SoakFleet& fleet, StopRecord& stops, std::vector<Fault> faults);
 
     /// Ends when the last fault is over and all hosts run.
     auto play() -> asio::awaitable<void>;
@@ -46,12 +46,17 @@
     auto setFrozen(int host, bool isFrozen) -> void;
     auto setDown(int host, bool isDown) -> void;
     auto cutDataCentres(const Fault& fault, bool isCut) -> void;
-    auto hostOf(const Fault& fault) const -> int { return fault.target % m_fleet.hosts(); }
+    auto hostOf(const Fault& fault) const -> int;
+    auto placesOf(const Fault& fault) const -> std::vector<Place>;
+    auto hostsOfBoth(int dataCentre) const -> std::vector<Place>; ///< and of the next one
+    auto recordBegin(const Fault& fault) -> void;
+    auto recordEnd(const Fault& fault) -> void;
     auto engineOf(const Fault& fault) const -> int { return fault.target % m_fleet.engines(); }
     auto rest(framework::Milliseconds time) -> asio::awaitable<void>;
 
     asio::io_context& m_context;
     SoakFleet& m_fleet;
+    StopRecord& m_stops;
     std::vector<Fault> m_faults;
     int m_underWay = 0;
     std::map<int, int> m_frozen; ///< faults by host
--- a/testing/faultsoak/main.cpp
+++ b/testing/faultsoak/main.cpp
@@ -34,8 +34,14 @@
     std::uint64_t seed = 1;
     int seconds = 15;
     int programs = 24;
+    Mixture mixture = Mixture::All;
 };
 
+auto faultsOf(const SoakOptions& chosen) -> std::vector<Fault>
+{
+    return drawFaults(chosen.seed, std::chrono::seconds(chosen.seconds), chosen.mixture);
+}
+
 auto restFor(asio::io_context& context, Milliseconds time) -> asio::awaitable<void>
 {
     auto timer = asio::steady_timer(context, time);
@@ -66,7 +72,7 @@
     }
     auto callers = SoakCallers(context, fleet, promises, chosen.seed);
     callers.start(chosen.programs);
-    auto player = FaultPlayer(context, fleet, drawFaults(chosen.seed, std::chrono::seconds(chosen.seconds)));
+    auto player = FaultPlayer(context, fleet, promises.stops(), faultsOf(chosen));
     co_await player.play();
     co_await restFor(context, s_settleTime);
     callers.stop();
@@ -89,12 +95,9 @@
     for (const auto& violation : promises.violations()) {
         violations.push_back({{"promise", nameOf(violation.promise)}, {"detail", violation.detail}});
     }
-    std::cout << Json{{"seed", chosen.seed},
-                      {"hosts", chosen.fleet.hosts},
-                      {"faults", faults},
-                      {"attempts", promises.attempts()},
-                      {"answered", promises.answered()},
-                      {"statuses", statuses},
+    std::cout << Json{{"seed", chosen.seed},     {"mixture", nameOf(chosen.mixture)}, {"hosts", chosen.fleet.hosts},
+                      {"faults", faults},        {"attempts", promises.attempts()},   {"answered", promises.answered()},
+                      {"statuses", statuses},    {"stops", promises.stops().stops()}, {"cut_off_beside_faults", promises.stops().excused()},
                       {"violations", violations}}
                      .dump()
               << '\n';
@@ -105,7 +108,7 @@
 {
     std::filesystem::create_directories(chosen.fleet.folder);
     auto context = asio::io_context(1);
-    auto promises = Promises({{"small", {.perSecond = 8, .burst = 8}}});
+    auto promises = Promises({{"small", {.perSecond = 8, .burst = 8}}}, chosen.fleet.gracePeriod);
     auto fleet = SoakFleet(context, chosen.fleet, promises);
     asio::co_spawn(context, runSoak(context, chosen, fleet, promises), [](const std::exception_ptr& failure) {
         if (failure) {
@@ -113,7 +116,7 @@
         }
     });
     context.run();
-    return report(chosen, promises, drawFaults(chosen.seed, std::chrono::seconds(chosen.seconds)).size());
+    return report(chosen, promises, faultsOf(chosen).size());
 }
 
 } // namespace
@@ -132,6 +135,9 @@
     add("data-centres", options::value(&chosen.fleet.dataCentres), "among which hosts are spread");
     add("engines", options::value(&chosen.fleet.engines), "stand-ins of backend servers");
     add("programs", options::value(&chosen.programs), "callers' programs at a time");
+    add("mixture", options::value<std::string>()->default_value("all"), "faults to draw from: all, planned, rolls");
+    add("grace", options::value<int>()->default_value(4), "seconds that hosts have to stop");
+    add("event-pause", options::value<int>()->default_value(8), "milliseconds that backend servers take for an event or a plain answer");
     add("faults", "prints the faults of the seed and ends");
     auto values = options::variables_map();
     try {
@@ -142,8 +148,16 @@
         }
         options::notify(values);
         chosen.fleet.folder += '/' + std::to_string(chosen.seed);
+        const auto mixture = mixtureOf(values["mixture"].as<std::string>());
+        if (!mixture) {
+            std::cerr << "unknown mixture\n" << described;
+            return 2;
+        }
+        chosen.mixture = *mixture;
+        chosen.fleet.gracePeriod = std::chrono::seconds(values["grace"].as<int>());
+        chosen.fleet.eventPause = Milliseconds(values["event-pause"].as<int>());
         if (values.contains("faults")) {
-            for (const auto& fault : drawFaults(chosen.seed, std::chrono::seconds(chosen.seconds))) {
+            for (const auto& fault : faultsOf(chosen)) {
                 std::cout << fmt::format("{:6} {:6} ms {:3} {}\n", fault.at.count(), fault.time.count(), fault.target, nameOf(fault.kind));
             }
             return 0;
--- a/testing/faultsoak/promises.cpp
+++ b/testing/faultsoak/promises.cpp
@@ -14,7 +14,7 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-constexpr auto s_promiseNames = framework::NameTable<Promise, 12>{{
+constexpr auto s_promiseNames = framework::NameTable<Promise, 13>{{
     {Promise::RunsOnce, "runs_once"},
     {Promise::TrueRefusal, "true_refusal"},
     {Promise::WholeAnswer, "whole_answer"},
@@ -27,6 +27,7 @@
     {Promise::Recovers, "recovers"},
     {Promise::DrainedServer, "drained_server"},
     {Promise::StopsClean, "stops_clean"},
+    {Promise::GracefulStop, "graceful_stop"},
 }};
 
 /// The sites' window, and what may be above the limit within it.
@@ -57,8 +58,9 @@
     return framework::nameOf(s_promiseNames, promise);
 }
 
-Promises::Promises(std::map<std::string, AccountLimit> limits)
+Promises::Promises(std::map<std::string, AccountLimit> limits, Milliseconds gracePeriod)
     : m_limits(std::move(limits))
+    , m_stops(gracePeriod)
 {}
 
 auto Promises::broken(Promise promise, std::string detail) -> void
@@ -92,6 +94,13 @@
     m_attempts[attempt.id].attempt = attempt;
 }
 
+auto Promises::reached(const std::string& id, int host, Instant now) -> void
+{
+    auto& known = m_attempts.at(id);
+    known.host = host;
+    known.reachedAt = now;
+}
+
 auto Promises::historyOf(const std::string& turn) const -> std::string
 {
     const auto known = m_attempts.find(turn);
@@ -105,7 +114,8 @@
     return history;
 }
 
-auto Promises::ran(const std::string& id, const std::string& account, const std::string& body, bool showsKey, Instant now) -> void
+auto Promises::ran(const std::string& id, const std::string& account, const std::string& body, bool showsKey, Instant now, int engine)
+    -> void
 {
     const auto found = m_attempts.find(id);
     if (found == m_attempts.end()) {
@@ -113,6 +123,7 @@
         return;
     }
     auto& known = found->second;
+    known.engines.insert(engine);
     if (++known.runs > 1 && !known.attempt.mayRepeat) {
         broken(Promise::RunsOnce, fmt::format("{} ran {} times", id, known.runs));
     }
@@ -150,6 +161,7 @@
 {
     auto& known = m_attempts.at(id);
     ++m_statuses[got.isWhole ? got.status : 0];
+    checkStop(known, got, now);
     if (saysNotRun(got.status)) {
         known.isRefused = true;
         if (known.runs > 0 && !known.attempt.mayRepeat) {
@@ -190,6 +202,22 @@
     }
 }
 
+auto Promises::checkStop(const Known& known, const Got& got, Instant now) -> void
+{
+    if (!known.host) {
+        return;
+    }
+    const auto failure = m_stops.failureOf({.host = *known.host,
+                                            .sentAt = known.reachedAt,
+                                            .endedAt = now,
+                                            .engines = known.engines,
+                                            .hasBegun = got.status != 0,
+                                            .isWhole = got.isWhole});
+    if (failure) {
+        broken(Promise::GracefulStop, fmt::format("{}: {}", known.attempt.id, *failure));
+    }
+}
+
 auto Promises::checkAnswer(const Known& known, const Got& got) -> void
 {
     const auto& attempt = known.attempt;
--- a/testing/faultsoak/promises.h
+++ b/testing/faultsoak/promises.h
@@ -2,10 +2,12 @@
 
 #include "framework/global/time.h"
 #include "standins/callerask.h"
+#include "stoprecord.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +50,7 @@
     Recovers,      ///< with all faults over, requests are served again
     DrainedServer, ///< a server that drains gets nothing once hosts know
     StopsClean,    ///< a host that is asked to stop ends in time, by itself
+    GracefulStop,  ///< a host that stops cuts off nothing that a backend server began
 };
 
 struct Violation
@@ -60,16 +63,25 @@
 class Promises
 {
 public:
-    explicit Promises(std::map<std::string, AccountLimit> limits);
+    /// `gracePeriod`: time that hosts have to stop.
+    explicit Promises(std::map<std::string, AccountLimit> limits, framework::Milliseconds gracePeriod = std::chrono::seconds(4));
 
     auto sent(const Attempt& attempt) -> void;
 
+    /// The last byte of an attempt's request was sent to a host.
+    auto reached(const std::string& id, int host, framework::Instant now) -> void;
+
     /// A backend server began to work on a request.
-    auto ran(const std::string& id, const std::string& account, const std::string& body, bool showsKey, framework::Instant now) -> void;
+    auto ran(const std::string& id, const std::string& account, const std::string& body, bool showsKey, framework::Instant now,
+             int engine = 0) -> void;
 
     /// A caller's attempt ended.
     auto ended(const std::string& id, const Got& got, framework::Instant now) -> void;
 
+    /// Stops of hosts, and faults beside them.
+    auto stops() -> StopRecord& { return m_stops; }
+    auto stops() const -> const StopRecord& { return m_stops; }
+
     /// Something else that was promised was not kept.
     auto broken(Promise promise, std::string detail) -> void;
 
@@ -92,14 +104,19 @@
         int runs = 0;
         bool isRefused = false;               ///< its caller was told that it did not run
         framework::Instant answeredWholeAt{}; ///< of a turn
+        std::optional<int> host;              ///< that its request reached
+        framework::Instant reachedAt{};
+        std::set<int> engines; ///< that began it
     };
 
     auto historyOf(const std::string& turn) const -> std::string;
     auto checkRate(const std::string& account, framework::Instant now) -> void;
     auto checkBudget(const Attempt& attempt, const std::string& body) -> void;
     auto checkAnswer(const Known& known, const Got& got) -> void;
+    auto checkStop(const Known& known, const Got& got, framework::Instant now) -> void;
 
     std::map<std::string, AccountLimit> m_limits;
+    StopRecord m_stops;
     std::map<std::string, Known> m_attempts;
     std::map<std::string, std::uint64_t> m_handedOut; ///< tokens by program
     std::map<std::string, std::deque<framework::Instant>> m_runs;
--- a/testing/faultsoak/soakcallers.cpp
+++ b/testing/faultsoak/soakcallers.cpp
@@ -59,21 +59,23 @@
     : m_context(context)
     , m_fleet(fleet)
     , m_promises(promises)
+    , m_balancer(context, fleet)
     , m_random(seed)
 {}
 
 auto SoakCallers::start(int programs) -> void
 {
+    m_balancer.start();
     for (auto number = 0; number < programs; ++number) {
         ++m_running;
-        asio::co_spawn(m_context, runPrograms(m_random()), asio::detached);
+        asio::co_spawn(m_context, runPrograms(m_random(), number % m_fleet.dataCentres()), asio::detached);
     }
 }
 
-auto SoakCallers::runPrograms(std::uint64_t seed) -> asio::awaitable<void>
+auto SoakCallers::runPrograms(std::uint64_t seed, int dataCentre) -> asio::awaitable<void>
 {
     auto random = std::mt19937_64(seed);
-    auto connection = Connection(m_context);
+    auto connection = Connection(m_context, dataCentre);
     while (!m_isStopped) {
         co_await runProgram(connection, random);
     }
@@ -196,12 +198,12 @@
 auto SoakCallers::send(Connection& connection, const Attempt& attempt, const Ask& ask) -> asio::awaitable<Got>
 {
     m_promises.sent(attempt);
-    const auto got = co_await exchange(connection, requestText(ask));
+    const auto got = co_await exchange(connection, attempt.id, requestText(ask));
     m_promises.ended(attempt.id, got, framework::SystemClock().now());
     co_return got;
 }
 
-auto SoakCallers::exchange(Connection& connection, const std::string& text) -> asio::awaitable<Got>
+auto SoakCallers::exchange(Connection& connection, const std::string& id, const std::string& text) -> asio::awaitable<Got>
 {
     auto& socket = connection.socket;
     auto error = boost::system::error_code();
@@ -216,7 +218,7 @@
         });
     };
     if (!socket.is_open()) {
-        connection.host = static_cast<int>(m_random() % static_cast<std::uint64_t>(m_fleet.hosts()));
+        connection.host = m_balancer.hostFor(connection.dataCentre, m_random());
         closeAfter(s_connectPatience);
         co_await socket.async_connect(m_fleet.callerEndpoint(connection.host), asio::redirect_error(asio::use_awaitable, error));
     }
@@ -227,6 +229,7 @@
     }
     auto parser = http::response_parser<http::string_body>();
     if (!error) {
+        m_promises.reached(id, connection.host, framework::SystemClock().now());
         auto buffer = boost::beast::flat_buffer();
         co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
@@ -247,7 +250,7 @@
 
 auto SoakCallers::checkRecovery() -> asio::awaitable<void>
 {
-    auto connection = Connection(m_context);
+    auto connection = Connection(m_context, 0);
     for (auto host = 0; host < m_fleet.hosts(); ++host) {
         if (!co_await m_fleet.isReady(host)) {
             m_promises.broken(Promise::Recovers, fmt::format("host-{} is not ready", host));
@@ -256,6 +259,7 @@
     const auto first = m_ended.size() > s_checkedPrograms ? m_ended.size() - s_checkedPrograms : 0;
     for (auto index = first; index < m_ended.size(); ++index) {
         auto& program = m_ended[index];
+        connection.dataCentre = static_cast<int>(index) % m_fleet.dataCentres();
         const auto end = co_await takeTurn(connection, program, program.turns.back(), s_recoveryTries);
         if (end == TurnEnd::Failed) {
             m_promises.broken(Promise::Recovers, fmt::format("{} does not go on from {}", program.name, program.turns.back()));
@@ -269,7 +273,7 @@
     co_await rest(s_changeInForce);
     const auto before = m_fleet.engine(0).requests().size();
     for (auto number = 0; number < s_callsAtDrain; ++number) {
-        auto connection = Connection(m_context);
+        auto connection = Connection(m_context, number % m_fleet.dataCentres());
         (void)co_await callOnce(connection, "large", true);
     }
     if (m_fleet.engine(0).requests().size() != before) {
@@ -282,7 +286,7 @@
     m_fleet.putConfiguration(false);
     co_await rest(s_changeInForce);
     for (auto host = 0; host < m_fleet.hosts(); ++host) {
-        auto connection = Connection(m_context);
+        auto connection = Connection(m_context, m_fleet.dataCentreOf(host));
         auto error = boost::system::error_code();
         co_await connection.socket.async_connect(m_fleet.callerEndpoint(host), asio::redirect_error(asio::use_awaitable, error));
         const auto attempt = Attempt{.id = nextId("call"), .account = "small", .input = "order", .mayRepeat = true};
--- a/testing/faultsoak/soakcallers.h
+++ b/testing/faultsoak/soakcallers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancer.h"
 #include "promises.h"
 #include "soakfleet.h"
 
@@ -7,7 +8,7 @@
 
 namespace laburnummill::testing {
 
-/// Callers' programs and calls, each on a connection that it keeps until that ends.
+/// Callers' programs and calls, each on a connection that it keeps until that ends; a load balancer chooses the host of a new one.
 class SoakCallers
 {
 public:
@@ -30,11 +31,13 @@
 private:
     struct Connection
     {
-        explicit Connection(asio::io_context& context)
+        Connection(asio::io_context& context, int callerDataCentre)
             : socket(context)
+            , dataCentre(callerDataCentre)
         {}
 
         asio::ip::tcp::socket socket;
+        int dataCentre; ///< of its caller
         int host = -1;
     };
 
@@ -55,20 +58,21 @@
         Failed,
     };
 
-    auto runPrograms(std::uint64_t seed) -> asio::awaitable<void>;
+    auto runPrograms(std::uint64_t seed, int dataCentre) -> asio::awaitable<void>;
     auto runProgram(Connection& connection, std::mt19937_64& random) -> asio::awaitable<void>;
     auto takeTurn(Connection& connection, Program& program, const std::string& previous, int tries) -> asio::awaitable<TurnEnd>;
     /// A turn whose request carries the history; goes on where a broken stream ended.
     auto takeDraft(Connection& connection, Program& program, int tries) -> asio::awaitable<TurnEnd>;
     auto callOnce(Connection& connection, const std::string& account, bool mayRepeat) -> asio::awaitable<Got>;
     auto send(Connection& connection, const Attempt& attempt, const Ask& ask) -> asio::awaitable<Got>;
-    auto exchange(Connection& connection, const std::string& text) -> asio::awaitable<Got>;
+    auto exchange(Connection& connection, const std::string& id, const std::string& text) -> asio::awaitable<Got>;
     auto rest(framework::Milliseconds time) -> asio::awaitable<void>;
     auto nextId(const char* kind) -> std::string;
 
     asio::io_context& m_context;
     SoakFleet& m_fleet;
     Promises& m_promises;
+    Balancer m_balancer;
     std::mt19937_64 m_random;
     std::vector<Program> m_ended;
     std::uint64_t m_number = 0;
--- a/testing/faultsoak/soakfleet.cpp
+++ b/testing/faultsoak/soakfleet.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -30,10 +31,10 @@
 constexpr auto s_controlPort = std::uint16_t{7'005};
 constexpr auto s_firstHost = 11;
 
-constexpr auto s_graceSeconds = 4;
+/// The process is gone within its grace period; the rest is the busy machine's.
+constexpr auto s_stopReserve = std::chrono::seconds(1);
 
-/// The process is gone within its grace; the rest is the busy machine's.
-constexpr auto s_stopPatience = std::chrono::seconds(s_graceSeconds + 1);
+constexpr auto s_probeTimeout = std::chrono::seconds(1);
 
 constexpr auto s_memoryMegabytes = 100;
 
@@ -56,7 +57,7 @@
         showsKey = showsKey || field.value().find("-key") != std::string_view::npos;
     }
     m_promises.ran(std::string(request["Request-Id"]), std::string(request["Tenant"]), request.body(), showsKey,
-                   framework::SystemClock().now());
+                   framework::SystemClock().now(), m_engine);
 }
 
 auto SoakFleet::Script::events(const Request& request) const -> std::vector<std::string>
@@ -69,8 +70,9 @@
     return Promises::bodyOf(std::string(request["Request-Id"]));
 }
 
-SoakFleet::Engine::Engine(asio::io_context& context, Script& script)
-    : standIn(context, &script)
+SoakFleet::Engine::Engine(asio::io_context& context, const Script& engineScript)
+    : script(engineScript)
+    , standIn(context, &script)
     , path(context, anyEndpoint(), endpoint("127.0.0.1", standIn.port()))
 {}
 
@@ -78,12 +80,11 @@
     : m_context(context)
     , m_plan(plan)
     , m_promises(promises)
-    , m_script(promises)
     , m_store(context)
 {
     putConfiguration(true);
     for (auto number = 0; number < plan.engines; ++number) {
-        m_engines.push_back(std::make_unique<Engine>(context, m_script));
+        m_engines.push_back(std::make_unique<Engine>(context, Script(promises, number, plan.eventPause)));
         putEngine(number, "ready");
     }
     for (auto host = 0; host < plan.hosts; ++host) {
@@ -136,7 +137,7 @@
                                {"port_range", {s_peerPort, s_peerPort + 10}},
                                {"provider", {{"address", m_hosts[static_cast<std::size_t>(host)]->storePath->address()}}},
                                {"limits", {{"memory_mb", s_memoryMegabytes}}},
-                               {"bounds", {{"grace_s", s_graceSeconds}}},
+                               {"bounds", {{"grace_s", m_plan.gracePeriod.count()}}},
                                {"bootstrap", isFirstStart},
                                {"seeds", seeds}};
     auto path = fmt::format("{}/host-{}.json", m_plan.folder, host);
@@ -157,6 +158,7 @@
 auto SoakFleet::kill(int host) -> void
 {
     m_hosts[static_cast<std::size_t>(host)]->process.reset();
+    m_promises.stops().stopEnded(host, framework::SystemClock().now());
 }
 
 auto SoakFleet::signal(int host, int number) -> void
@@ -169,6 +171,7 @@
 auto SoakFleet::askToStop(int host) -> void
 {
     signal(host, SIGTERM);
+    m_promises.stops().stopBegan(host, framework::SystemClock().now());
     m_hosts[static_cast<std::size_t>(host)]->askedToStopAt = std::chrono::steady_clock::now();
 }
 
@@ -182,14 +185,14 @@
         if (*code != 0) {
             m_promises.broken(Promise::StopsClean, fmt::format("host-{} ended with {}", host, *code));
         }
-        asked.process.reset();
+        kill(host);
         return true;
     }
-    if (std::chrono::steady_clock::now() < *asked.askedToStopAt + s_stopPatience) {
+    if (std::chrono::steady_clock::now() < *asked.askedToStopAt + m_plan.gracePeriod + s_stopReserve) {
         return false;
     }
     m_promises.broken(Promise::StopsClean, fmt::format("host-{} still runs after its grace", host));
-    asked.process.reset();
+    kill(host);
     return true;
 }
 
@@ -244,13 +247,20 @@
 
 auto SoakFleet::isReady(int host) -> asio::awaitable<bool>
 {
-    auto socket = asio::ip::tcp::socket(m_context);
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
     auto error = boost::system::error_code();
-    co_await socket.async_connect(endpoint(ip(host), s_readyPort), asio::redirect_error(asio::use_awaitable, error));
+    auto timer = asio::steady_timer(m_context, s_probeTimeout);
+    timer.async_wait([socket](const boost::system::error_code& ended) {
+        if (!ended) {
+            auto ignored = boost::system::error_code();
+            socket->close(ignored);
+        }
+    });
+    co_await socket->async_connect(endpoint(ip(host), s_readyPort), asio::redirect_error(asio::use_awaitable, error));
     const auto text = std::string("GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-    co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(*socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
     auto head = std::array<char, 12>();
-    co_await asio::async_read(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_read(*socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, error));
     co_return !error && std::string_view(head.data(), head.size()) == "HTTP/1.1 200";
 }
 
--- a/testing/faultsoak/soakfleet.h
+++ b/testing/faultsoak/soakfleet.h
@@ -21,6 +21,8 @@
     int hosts = 6;
     int dataCentres = 2;
     int engines = 4;
+    std::chrono::seconds gracePeriod{4};     ///< hosts have to stop
+    std::chrono::milliseconds eventPause{8}; ///< of backend servers, before each event and each plain answer
 };
 
 /// The real program as a process a host, with stand-ins of the store and of backend servers behind proxies. All proxies
@@ -61,24 +63,28 @@
     auto putEngine(int number, const std::string& state) -> void;
     auto putConfiguration(bool isSecondKeyValid) -> void;
 
-    /// Whether a host takes callers.
+    /// Whether a host takes callers; without an answer for a second it does not.
     auto isReady(int host) -> asio::awaitable<bool>;
 
 private:
     class Script final : public IEngineScript
     {
     public:
-        explicit Script(Promises& promises)
+        Script(Promises& promises, int engine, std::chrono::milliseconds pause)
             : m_promises(promises)
+            , m_engine(engine)
+            , m_pause(pause)
         {}
 
         auto began(const Request& request) -> void override;
         auto events(const Request& request) const -> std::vector<std::string> override;
-        auto pause() const -> std::chrono::milliseconds override { return std::chrono::milliseconds(8); }
+        auto pause() const -> std::chrono::milliseconds override { return m_pause; }
         auto body(const Request& request) const -> std::string override;
 
     private:
         Promises& m_promises;
+        int m_engine;
+        std::chrono::milliseconds m_pause;
     };
 
     struct Host
@@ -92,8 +98,9 @@
 
     struct Engine
     {
-        Engine(asio::io_context& context, Script& script);
+        Engine(asio::io_context& context, const Script& script);
 
+        Script script;
         EngineStandIn standIn;
         ConnectionProxy path;
         int born = 1;
@@ -105,7 +112,6 @@
     asio::io_context& m_context;
     FleetPlan m_plan;
     Promises& m_promises;
-    Script m_script;
     StoreStandIn m_store;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::unique_ptr<Engine>> m_engines;
--- a/testing/faultsoak/tests/faultplantest.cpp
+++ b/testing/faultsoak/tests/faultplantest.cpp
@@ -2,6 +2,7 @@
 
 // The test harness redefines new: what the standard library needs comes first.
 #include <algorithm>
+#include <array>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -13,6 +14,7 @@
 
 constexpr auto s_length = Milliseconds(30'000);
 constexpr auto s_seeds = std::uint64_t{200};
+constexpr auto s_mixtures = std::array{Mixture::All, Mixture::Planned, Mixture::Rolls};
 
 auto isOutage(const Fault& fault) -> bool
 {
@@ -22,7 +24,8 @@
 
 auto isLossIn(const Fault& fault, const Fault& outage) -> bool
 {
-    const auto isLoss = fault.kind == FaultKind::HostKilled || fault.kind == FaultKind::HostRolled;
+    const auto isLoss =
+        fault.kind == FaultKind::HostKilled || fault.kind == FaultKind::HostRolled || fault.kind == FaultKind::DataCentreRolled;
     return isLoss && fault.at < outage.at + outage.time && fault.at + fault.time > outage.at;
 }
 
@@ -40,21 +43,38 @@
 {
     auto kinds = std::set<FaultKind>();
     for (auto seed = std::uint64_t{0}; seed < s_seeds; ++seed) {
-        for (const auto& fault : drawFaults(seed, s_length)) {
-            kinds.insert(fault.kind);
-            CHECK_TRUE(fault.at + fault.time < s_length);
+        for (const auto mixture : s_mixtures) {
+            for (const auto& fault : drawFaults(seed, s_length, mixture)) {
+                kinds.insert(fault.kind);
+                CHECK_TRUE(fault.at + fault.time < s_length);
+            }
         }
     }
-    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::KeyWithdrawn) + 1, kinds.size());
+    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::DataCentreRolled) + 1, kinds.size());
 }
 
 TEST(FaultPlan, noMoreHostsAreLostInAnOutageThanItsRecordsSurvive)
 {
     for (auto seed = std::uint64_t{0}; seed < s_seeds; ++seed) {
-        const auto faults = drawFaults(seed, s_length);
-        for (const auto& outage : faults) {
-            const auto losses = std::ranges::count_if(faults, [&](const auto& fault) { return isLossIn(fault, outage); });
-            CHECK_TRUE(!isOutage(outage) || losses <= 2);
+        for (const auto mixture : s_mixtures) {
+            const auto faults = drawFaults(seed, s_length, mixture);
+            for (const auto& outage : faults) {
+                const auto losses = std::ranges::count_if(faults, [&](const auto& fault) { return isLossIn(fault, outage); });
+                CHECK_TRUE(!isOutage(outage) || losses <= 2);
+            }
         }
     }
 }
+
+TEST(FaultPlan, plannedWorkIsAllThatThePlannedMixtureHas)
+{
+    auto rolls = 0;
+    for (auto seed = std::uint64_t{0}; seed < s_seeds; ++seed) {
+        for (const auto& fault : drawFaults(seed, s_length, Mixture::Planned)) {
+            CHECK_FALSE(isOutage(fault));
+            CHECK_FALSE(fault.kind == FaultKind::HostKilled || fault.kind == FaultKind::HostFrozen);
+            rolls += fault.kind == FaultKind::DataCentreRolled && fault.turn > 0 ? 1 : 0;
+        }
+    }
+    CHECK_TRUE(rolls > static_cast<int>(s_seeds));
+}
--- a/testing/faultsoak/tests/promisestest.cpp
+++ b/testing/faultsoak/tests/promisestest.cpp
@@ -162,3 +162,17 @@
     promises.ran("unknown", "large", "order", false, s_now);
     CHECK_TRUE(isBroken(Promise::NothingUnsent));
 }
+
+TEST(Promises, aStopThatCutsOffWhatABackendServerBeganIsNoticed)
+{
+    promises.stops().stopBegan(3, s_now);
+    promises.sent(call("c", true));
+    promises.reached("c", 3, s_now);
+    promises.ended("c", {.status = 0, .body = {}, .retryAfter = {}, .isWhole = false}, s_now + Milliseconds(100));
+    CHECK_FALSE(isBroken(Promise::GracefulStop));
+    promises.sent(call("d", true));
+    promises.reached("d", 3, s_now);
+    promises.ran("d", "large", "order", false, s_now);
+    promises.ended("d", {.status = 0, .body = {}, .retryAfter = {}, .isWhole = false}, s_now + Milliseconds(100));
+    CHECK_TRUE(isBroken(Promise::GracefulStop));
+}
