--- a/testing/faultsoak/stoprecord.cpp
+++ b/testing/faultsoak/stoprecord.cpp
@@ -76,14 +76,15 @@
     if (crossesClose) {
         return std::nullopt;
     }
+    const auto milliseconds = [](auto time) { return std::chrono::duration_cast<Milliseconds>(time).count(); };
+    auto failure =
+        fmt::format("host-{} cut it off {} ms after it was sent, {} ms after the host was asked to stop; {} backend servers began it",
+                    end.host, milliseconds(took), milliseconds(end.endedAt - stop->from), end.engines.size());
     if (isExcused(end)) {
-        ++m_excused;
+        m_excused.push_back(std::move(failure));
         return std::nullopt;
     }
-    const auto milliseconds = [](auto time) { return std::chrono::duration_cast<Milliseconds>(time).count(); };
-    return fmt::format(
-        "host-{} cut it off {} ms after it was sent, {} ms after the host was asked to stop; backend servers that began it: {}", end.host,
-        milliseconds(took), milliseconds(end.endedAt - stop->from), end.engines.size());
+    return failure;
 }
 
 auto StopRecord::stopAround(const AttemptEnd& end) const -> const Span*
--- a/testing/faultsoak/stoprecord.h
+++ b/testing/faultsoak/stoprecord.h
@@ -52,14 +52,14 @@
     auto faultBegan(Place place, framework::Instant now) -> void;
     auto faultEnded(Place place, framework::Instant now) -> void;
 
-    /// Why the end of an attempt breaks the promise of a graceful stop; none if it does not. Cuts that a fault excuses are counted.
+    /// Why the end of an attempt breaks the promise of a graceful stop; none if it does not.
     auto failureOf(const AttemptEnd& end) -> std::optional<std::string>;
 
     /// Stops that began.
     auto stops() const -> int { return m_stopCount; }
 
-    /// Requests that a stop cut off beside an unplanned fault.
-    auto excused() const -> int { return m_excused; }
+    /// What failureOf() would have said of requests that a stop cut off beside an unplanned fault.
+    auto excused() const -> const std::vector<std::string>& { return m_excused; }
 
 private:
     struct Span
@@ -83,7 +83,7 @@
     std::map<int, std::vector<Span>> m_stops;
     std::map<Place, Disturbance> m_disturbances;
     int m_stopCount = 0;
-    int m_excused = 0;
+    std::vector<std::string> m_excused;
 };
 
 } // namespace laburnummill::testing
--- a/testing/faultsoak/tests/stoprecordtest.cpp
+++ b/testing/faultsoak/tests/stoprecordtest.cpp
@@ -79,7 +79,7 @@
         auto disturbed = StopRecord(s_grace);
         disturbed.stopBegan(s_host, s_askedAt);
         disturbed.faultBegan(place, at(5'000));
-        return !disturbed.failureOf(cutOff(6'000, 6'100)).has_value() && disturbed.excused() == 1;
+        return !disturbed.failureOf(cutOff(6'000, 6'100)).has_value() && disturbed.excused().size() == 1;
     };
     CHECK_TRUE(excuses({.kind = Place::Kind::Host, .number = s_host}));
     CHECK_TRUE(excuses({.kind = Place::Kind::Store}));
