--- a/testing/faultsoak/promises.cpp
+++ b/testing/faultsoak/promises.cpp
@@ -136,7 +136,7 @@
     if (body != historyOf(known.attempt.previousTurn) + known.attempt.input) {
         broken(Promise::History, id);
     }
-    m_runs[account].push_back(now);
+    m_runs[account].push_back({.at = now, .id = id});
     checkRate(account, now);
 }
 
@@ -144,7 +144,7 @@
 {
     const auto limit = m_limits.find(account);
     auto& runs = m_runs[account];
-    while (runs.front() < now - s_rateWindow) {
+    while (runs.front().at < now - s_rateWindow) {
         runs.pop_front();
     }
     if (limit == m_limits.end()) {
@@ -153,7 +153,15 @@
     const auto seconds = std::chrono::duration<double>(s_rateWindow).count();
     const auto most = (limit->second.perSecond * seconds + limit->second.burst) * (1 + s_rateOverage) + s_rateSlack;
     if (static_cast<double>(runs.size()) > most && m_overRate.insert(account).second) {
-        broken(Promise::Rate, fmt::format("{}: {} in a window of at most {}", account, runs.size(), most));
+        auto requests = std::set<std::string>();
+        auto sentBefore = 0;
+        for (const auto& run : runs) {
+            const auto& reachedAt = m_attempts.at(run.id).reachedAt;
+            sentBefore += reachedAt != Instant{} && reachedAt < now - s_rateWindow ? 1 : 0;
+            requests.insert(run.id);
+        }
+        broken(Promise::Rate, fmt::format("{}: {} in a window of at most {}; {} requests, {} runs of those sent before it", account,
+                                          runs.size(), most, requests.size(), sentBefore));
     }
 }
 
--- a/testing/faultsoak/promises.h
+++ b/testing/faultsoak/promises.h
@@ -109,6 +109,12 @@
         std::set<int> engines; ///< that began it
     };
 
+    struct Run
+    {
+        framework::Instant at{};
+        std::string id;
+    };
+
     auto historyOf(const std::string& turn) const -> std::string;
     auto checkRate(const std::string& account, framework::Instant now) -> void;
     auto checkBudget(const Attempt& attempt, const std::string& body) -> void;
@@ -119,7 +125,7 @@
     StopRecord m_stops;
     std::map<std::string, Known> m_attempts;
     std::map<std::string, std::uint64_t> m_handedOut; ///< tokens by program
-    std::map<std::string, std::deque<framework::Instant>> m_runs;
+    std::map<std::string, std::deque<Run>> m_runs;    ///< of the last window, by account
     std::map<unsigned, std::uint64_t> m_statuses;
     std::set<std::string> m_overRate;
     std::vector<Violation> m_violations;
