--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -32,6 +32,29 @@
 
 } // namespace
 
+auto BudgetLedger::answer(peers::messages::GrantQuery query, std::uint64_t replicatedTokens) -> Async<peers::messages::Response>
+{
+    auto response = peers::messages::Response();
+    const auto key = ProgramKey{.account = query.account(), .program = query.program()};
+    response.set_knows_program(hasProgram(key));
+    response.set_address(m_peers.ownAddress());
+    response.set_has_lent(unrecordedTokens(key) > 0);
+    response.set_left(unclaimedTokens(key));
+    response.set_lent(std::max(unrecordedTokens(key), replicatedTokens));
+    if (query.may_take_more()) {
+        const auto history = query.is_history_sent_by_caller() ? TurnHistory::SentByCaller : TurnHistory::KeptByHosts;
+        const auto reservation = co_await reserveForPeer(
+            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
+        response.set_granted(reservation.tokens);
+        response.set_is_grant_unrecorded(!reservation.isRecorded);
+        response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
+    } else {
+        response.set_granted(transferTokens(key, query.tokens()));
+    }
+    response.set_reserved(reserved(key));
+    co_return response;
+}
+
 auto BudgetLedger::possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<std::uint64_t>
 {
     if (!mayHaveUnrecordedGrants()) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -55,6 +55,10 @@
     /// Reserves tokens on behalf of a turn at another host and transfers them to that host.
     auto reserveForPeer(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
 
+    /// Answers another host's query for tokens. `replicatedTokens`: unrecorded tokens of the program in turns that other hosts ran
+    /// and this host holds.
+    auto answer(peers::messages::GrantQuery query, std::uint64_t replicatedTokens) -> framework::Async<peers::messages::Response>;
+
     /// Adds tokens that a turn at another host did not use.
     auto acceptReturnedTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
 
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -86,7 +86,6 @@
     /// compute the same ranks.
     using Ranks = std::vector<std::pair<std::uint64_t, std::string_view>>;
     auto ranksOf(std::string_view key, bool isOwnDataCentre) const -> Ranks;
-    auto answerGrant(peers::messages::GrantQuery query) -> framework::Async<peers::messages::Response>;
     auto heartbeatLoop() -> framework::Async<void>;
     auto makeHeartbeat() -> peers::messages::Heartbeat;
     auto addBackends(peers::messages::Heartbeat& heartbeat) const -> void;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -43,8 +43,11 @@
         m_state.journal->holdReplicas(kept.origin(), kept.origin_incarnation(), {kept.records().begin(), kept.records().end()});
         break;
     }
-    case messages::Request::kGrantQuery:
-        co_return co_await answerGrant(request.grant_query());
+    case messages::Request::kGrantQuery: {
+        const auto& query = request.grant_query();
+        const auto replicated = m_state.journal->replicaTokens({.account = query.account(), .program = query.program()});
+        co_return co_await m_state.budgets->answer(query, replicated);
+    }
     case messages::Request::BODY_NOT_SET:
         framework::logEvent(framework::LogLevel::Warning, "peers", "request_unknown");
         break;
@@ -52,29 +55,6 @@
     co_return response;
 }
 
-auto FleetLink::answerGrant(messages::GrantQuery query) -> Async<messages::Response>
-{
-    auto response = messages::Response();
-    const auto key = programs::ProgramKey{.account = query.account(), .program = query.program()};
-    response.set_knows_program(m_state.budgets->hasProgram(key));
-    response.set_address(m_settings.peerAddress);
-    response.set_has_lent(m_state.budgets->unrecordedTokens(key) > 0);
-    response.set_left(m_state.budgets->unclaimedTokens(key));
-    response.set_lent(std::max(m_state.budgets->unrecordedTokens(key), m_state.journal->replicaTokens(key)));
-    if (query.may_take_more()) {
-        const auto history = query.is_history_sent_by_caller() ? programs::TurnHistory::SentByCaller : programs::TurnHistory::KeptByHosts;
-        const auto reservation = co_await m_state.budgets->reserveForPeer(
-            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
-        response.set_granted(reservation.tokens);
-        response.set_is_grant_unrecorded(!reservation.isRecorded);
-        response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
-    } else {
-        response.set_granted(m_state.budgets->transferTokens(key, query.tokens()));
-    }
-    response.set_reserved(m_state.budgets->reserved(key));
-    co_return response;
-}
-
 auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
 {
     auto response = messages::Response();
