Hosts share what they grant without the store by the number of hosts that support each

Cause: without the store, a host that found no other one that knew a program granted a turn's tokens by itself. Hosts asked at the same moment found nobody each, hosts cut off from each other granted half a turn each however many groups there were, and a host that was restarted after a grant granted again. Change: a host supports the grants of one host (and one start of it) for a program, the first that asks; a host that has restarted and had no answer of the store since supports none. A grantor grants at most the limit times the share that its supporters are of all hosts, unreachable and removed ones included, so that the grants add up to the limit whatever hosts reach each other. A host that has supported another one already reserves through that one. In a fleet of which all hosts are reachable the limit is as before; with some unreachable it is their share less in place of half.

--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -42,6 +42,13 @@
     /// since it began as hold the record of a grant.
     virtual auto mayHaveLostGrants() const -> bool = 0;
 
+    /// Number of hosts that may be serving, unreachable ones and this host included.
+    virtual auto membershipSize() const -> int = 0;
+
+    /// Whether this host has restarted and the store has not answered it since: it may have forgotten which host's grants it
+    /// supported during the current outage.
+    virtual auto mayHaveForgottenSupport() const -> bool = 0;
+
     /// Whether within the last few seconds a host was unreachable, could not reach the store, or held turns not yet written to the
     /// store. Tokens may then have been granted that are not yet recorded in a row.
     virtual auto wasStoreImpairedRecently() const -> bool = 0;
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -120,6 +120,11 @@
     return 1 + static_cast<int>(std::ranges::count_if(m_peers, [](const auto& entry) { return !entry.second.last.is_leaving(); }));
 }
 
+auto PeerTable::membershipSize() const -> int
+{
+    return 1 + static_cast<int>(m_peers.size() + m_removed.size());
+}
+
 auto PeerTable::removeExpired(Instant now) -> void
 {
     std::erase_if(m_peers, [this, now](const auto& entry) {
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -77,6 +77,9 @@
     /// Number of hosts that may be serving, this host included.
     auto fleetSize() const -> int;
 
+    /// Number of hosts that may be serving: those in the table, whether reachable or leaving, removed ones and this host.
+    auto membershipSize() const -> int;
+
     /// Removes hosts that have sent no heartbeat for a long time.
     auto removeExpired(framework::Instant now) -> void;
 
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -41,7 +41,9 @@
     response.set_has_lent(unrecordedTokens(key) > 0);
     response.set_left(unclaimedTokens(key));
     response.set_lent(std::max(unrecordedTokens(key), replicatedTokens));
-    if (query.may_take_more()) {
+    if (!query.grantor().empty()) {
+        response.set_is_supported(support(*m_table.program(key), query.grantor(), query.grantor_incarnation()));
+    } else if (query.may_take_more()) {
         const auto history = query.is_history_sent_by_caller() ? TurnHistory::SentByCaller : TurnHistory::KeptByHosts;
         const auto reservation = co_await reserveForPeer(
             key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
@@ -146,7 +148,8 @@
 {
     const auto isLarge = mayBeGrantedMore(program, demand.maxTokens) && !program.isRowKnown;
     const auto limit = isLarge ? program.budget / s_outageGrantDivisor : demand.maxTokens;
-    return m_peers.isAnyHostUnreachable() ? limit / 2 : limit; // Unreachable hosts may grant tokens as well.
+    const auto hosts = static_cast<std::uint64_t>(m_peers.membershipSize());
+    return limit * std::min(program.supporters, hosts) / hosts; // The other hosts may support another grantor.
 }
 
 auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
@@ -159,11 +162,45 @@
     return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveLostGrants();
 }
 
+auto BudgetLedger::mayGrantWithoutStore(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
+{
+    return (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
+}
+
+auto BudgetLedger::support(Program& program, std::string_view grantor, std::uint64_t incarnation) -> bool
+{
+    if (program.supportedGrantor.empty() && !m_peers.mayHaveForgottenSupport()) {
+        program.supportedGrantor = grantor;
+        program.supportedIncarnation = incarnation;
+    }
+    return program.supportedGrantor == grantor && program.supportedIncarnation == incarnation;
+}
+
+auto BudgetLedger::collectSupport(ProgramKey key, ProgramPtr program) -> Async<std::string>
+{
+    const auto supportsItself = support(*program, m_peers.ownAddress(), m_peers.ownIncarnation());
+    if (!supportsItself && !program->supportedGrantor.empty()) {
+        co_return program->supportedGrantor;
+    }
+    const auto addresses = m_peers.reachableHosts();
+    if (program->supporters > addresses.size()) {
+        co_return std::string();
+    }
+    auto request = peers::messages::Request();
+    auto& query = *request.mutable_grant_query();
+    query.set_account(key.account);
+    query.set_program(key.program);
+    query.set_grantor(m_peers.ownAddress());
+    query.set_grantor_incarnation(m_peers.ownIncarnation());
+    const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout, [](const auto&) { return false; });
+    const auto others = std::ranges::count_if(answers.responses, [](const auto& response) { return response.is_supported(); });
+    program->supporters = std::max(program->supporters, static_cast<std::uint64_t>(others) + (supportsItself ? 1 : 0));
+    co_return std::string();
+}
+
 auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
     -> Reservation
 {
-    const auto mayGrant =
-        (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
     // A program without a row started during this outage. If all hosts lose their memory now, its turns are lost together with
     // the record of the granted tokens, so that no later turn can continue them.
     const auto limit = unrecordedGrantLimit(program, demand);
@@ -172,7 +209,8 @@
         std::min(unclaimedTokens - std::min(unclaimedTokens, others.unrecordedTokens), limit - std::min(limit, program.unrecordedTokens));
     const auto free = program.holding.free();
     const auto tokens = std::min(demand.maxTokens, free + room);
-    if (!mayGrant || static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(demand.maxTokens)) {
+    if (!mayGrantWithoutStore(program, demand, others) ||
+        static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(demand.maxTokens)) {
         return {.outcome = BudgetOutcome::Undetermined, .tokens = 0};
     }
     const auto granted = tokens - std::min(tokens, free);
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -159,7 +159,14 @@
             const auto fromGrantor = co_await reserveAtHome(key, others.grantor, demand);
             reservation = fromGrantor.value_or(Reservation());
         } else if (isUnavailable) {
-            reservation = grantWithoutStore(key, *program, demand, others);
+            const auto mayGrant = mayGrantWithoutStore(*program, demand, others);
+            const auto supported = mayGrant ? co_await collectSupport(key, program) : std::string();
+            if (!supported.empty() && !isGrantor) {
+                const auto fromGrantor = co_await reserveAtHome(key, supported, demand);
+                reservation = fromGrantor.value_or(Reservation());
+            } else {
+                reservation = grantWithoutStore(key, *program, demand, others);
+            }
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Exhausted : BudgetOutcome::Undetermined;
         }
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -31,7 +31,9 @@
 /// Enforces the token budgets of programs across all hosts. A host records a grant in the program's row in the store before it
 /// uses the tokens, so that the tokens in use never exceed those in the row, whichever hosts fail. During a store outage, one
 /// host of each group of hosts that reach each other grants tokens without recording them in the row first: one turn's worth,
-/// which is also the most by which a budget may be exceeded if all hosts fail then, or a quarter of the budget for a program
+/// which is also the most by which a budget may be exceeded if all hosts fail then. Each host supports the grants of one host
+/// only, and a host grants the share that its supporters are of all hosts: the grants add up to one turn's worth however the hosts
+/// are cut off from each other. The limit is one turn's worth, or a quarter of the budget for a program
 /// that starts during the outage with a large budget and whose history the hosts keep: if all hosts fail, its turns are lost as well.
 /// A program whose history is sent by its caller can go on after such a loss, so that it is never granted more than one turn's worth.
 /// Hosts other than a program's home host reserve tokens through the home host
@@ -122,6 +124,12 @@
     /// during and after an outage any host may have granted some.
     auto possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>;
     auto queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<PeerHoldings>;
+    /// Asks all reachable hosts to support the grants of this host. Returns the address of another host if this one supports it.
+    auto collectSupport(ProgramKey key, ProgramPtr program) -> framework::Async<std::string>;
+    /// Whether this host supports the grants of the host at `grantor`; it does if it supports no other host.
+    auto support(Program& program, std::string_view grantor, std::uint64_t incarnation) -> bool;
+    /// Whether this host may grant tokens of the program without the store.
+    auto mayGrantWithoutStore(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
     auto grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others) -> Reservation;
     /// Whether the program may have started during this outage, so that no row limits what it may still use.
     auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -28,7 +28,10 @@
     bool isRowBeingWritten = false;
     std::uint64_t unrecordedTokens = 0; ///< granted here during a store outage, not yet in the row
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
-    std::uint64_t awaitedTokens = 0;    ///< tokens that waiting turns need
+    std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
+    std::uint64_t supportedIncarnation = 0;
+    std::uint64_t supporters = 0;    ///< hosts that support the grants of this host, itself included
+    std::uint64_t awaitedTokens = 0; ///< tokens that waiting turns need
     framework::Instant usedAt{};
     framework::Signal changed;
 };
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -71,18 +71,21 @@
     auto isAnyHostUnreachable() const -> bool override { return false; }
     auto mayHaveUnknownTurns() const -> bool override { return true; }
     auto mayHaveLostGrants() const -> bool override { return hasLostGrants; }
+    auto membershipSize() const -> int override { return s_others + 1; }
+    auto mayHaveForgottenSupport() const -> bool override { return false; }
     auto wasStoreImpairedRecently() const -> bool override { return isImpaired; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t) const -> std::string override { return "address of " + std::string(host); }
     auto ownAddress() const -> std::string override { return "own"; }
     auto ownIncarnation() const -> std::uint64_t override { return 1; }
 
-    auto call(std::string address, peers::messages::Request, Milliseconds) -> AsyncResult<peers::messages::Response> override
+    auto call(std::string address, peers::messages::Request request, Milliseconds) -> AsyncResult<peers::messages::Response> override
     {
         called.insert(address);
         auto response = peers::messages::Response();
         response.set_address(address);
         response.set_knows_program(address == knowingHost);
+        response.set_is_supported(!request.grant_query().grantor().empty());
         response.set_budget_outcome(static_cast<std::uint32_t>(BudgetOutcome::Undetermined));
         co_return response;
     }
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -74,6 +74,8 @@
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override { return false; }
     auto mayHaveLostGrants() const -> bool override { return false; }
+    auto membershipSize() const -> int override { return s_hosts; }
+    auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
@@ -99,6 +101,7 @@
     {}
 
     std::uint64_t incarnation;
+    bool hasStoreAnswered = true; ///< since its start
     FleetPeers peers;
     ProgramTable table;
     BudgetLedger ledger;
@@ -125,6 +128,7 @@
         retired.push_back(hosts[number]);
         const auto incarnation = hosts[number]->incarnation + 1;
         hosts[number] = std::make_shared<Host>(context.get_executor(), *this, store, clock, number, incarnation);
+        hosts[number]->hasStoreAnswered = !store.isAway;
     }
 
     /// One turn that uses all of the tokens it was given.
@@ -157,6 +161,14 @@
         }
     }
 
+    auto setStoreAway(bool isAway) -> void
+    {
+        store.isAway = isAway;
+        for (const auto& host : hosts) {
+            host->hasStoreAnswered = host->hasStoreAnswered || !isAway;
+        }
+    }
+
     asio::io_context context;
     SystemClock clock;
     SharedStore store;
@@ -201,6 +213,11 @@
     return m_fleet.store.isAway || isAnyHostUnreachable();
 }
 
+auto FleetPeers::mayHaveForgottenSupport() const -> bool
+{
+    return !m_fleet.hosts[m_number]->hasStoreAnswered;
+}
+
 auto FleetPeers::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
 {
     const auto number = std::stoi(std::string(host));
@@ -298,7 +315,7 @@
         for (auto step = 0; step < 12; ++step) {
             switch (random() % 8) {
             case 0:
-                trial.store.isAway = !trial.store.isAway;
+                trial.setStoreAway(!trial.store.isAway);
                 break;
             case 1:
                 trial.cut();
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -377,12 +377,22 @@
 auto FleetLink::mayHaveLostGrants() const -> bool
 {
     const auto now = m_clock.now();
-    if (!m_settings.isFirstStart && !m_state.store->directWay().hasAnswered()) {
+    if (mayHaveForgottenSupport()) {
         return mayHaveUnknownTurns(); // This host started during the outage and knows of no earlier restarts.
     }
     return m_table.countRestartsSeenSince(m_storeOutageSince, now) >= s_turnHolders;
 }
 
+auto FleetLink::membershipSize() const -> int
+{
+    return m_table.membershipSize();
+}
+
+auto FleetLink::mayHaveForgottenSupport() const -> bool
+{
+    return !m_settings.isFirstStart && !m_state.store->directWay().hasAnswered();
+}
+
 auto FleetLink::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
 {
     return m_table.addressOf(host, incarnation, m_clock.now());
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -62,6 +62,8 @@
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override;
     auto mayHaveLostGrants() const -> bool override;
+    auto membershipSize() const -> int override;
+    auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
