--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -62,6 +62,8 @@
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override;
     auto mayHaveLostGrants() const -> bool override;
+    auto membershipSize() const -> int override;
+    auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
@@ -86,7 +88,6 @@
     /// compute the same ranks.
     using Ranks = std::vector<std::pair<std::uint64_t, std::string_view>>;
     auto ranksOf(std::string_view key, bool isOwnDataCentre) const -> Ranks;
-    auto answerGrant(peers::messages::GrantQuery query) -> framework::Async<peers::messages::Response>;
     auto heartbeatLoop() -> framework::Async<void>;
     auto makeHeartbeat() -> peers::messages::Heartbeat;
     auto addBackends(peers::messages::Heartbeat& heartbeat) const -> void;
