The test of the drain check makes each host use the server that drains

The other server now refuses, so that hosts which do not know of the drain must use the draining one. The check itself is unchanged.

--- a/testing/faultsoak/tests/soakcheckstest.cpp
+++ b/testing/faultsoak/tests/soakcheckstest.cpp
@@ -112,9 +112,11 @@
     for (auto host = 0; host < fleet.hosts(); ++host) {
         fleet.storePath(host).setState(PathState::Silent);
     }
+    fleet.engine(1).setFault(EngineFault::NotRun); // Each call then goes to the other one, unless its host knows of the drain.
     finish(callers.checkDrainedServer());
     CHECK_TRUE(isBroken(Promise::DrainedServer));
     CHECK_FALSE(isBroken(Promise::OwnAccount));
+    fleet.engine(1).setFault(EngineFault::None);
     finish(callers.checkWithdrawnKey());
     CHECK_TRUE(isBroken(Promise::OwnAccount));
 }
