--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -308,8 +308,8 @@
 {
     auto broken = std::string();
     auto granted = 0;
-    constexpr auto s_seeds = 40U;
-    for (auto seed = 1U; seed <= s_seeds; ++seed) {
+    constexpr auto seeds = 40U;
+    for (auto seed = 1U; seed <= seeds; ++seed) {
         auto random = std::minstd_rand(seed);
         auto trial = Fleet();
         for (auto step = 0; step < 12; ++step) {
