--- a/testing/measure/overload/overloadrun.cpp
+++ b/testing/measure/overload/overloadrun.cpp
@@ -131,15 +131,10 @@
 
 auto OverloadRun::arrive() -> void
 {
-    const auto draw = [this](double load, bool isGreedy) {
-        auto count = std::poisson_distribution<int>(load * m_programsPerMs * static_cast<double>(s_step.count()))(m_random);
-        for (; count > 0; --count) {
-            startProgram(isGreedy);
-        }
-    };
-    draw(isOverload(m_now) ? m_plan.load / m_plan.slowness : m_plan.calmLoad, false);
-    if (isOverload(m_now) && m_plan.greedyAccount > 0) {
-        draw(m_plan.greedyAccount / m_plan.slowness, true);
+    const auto load = isOverload(m_now) ? m_plan.load / m_plan.slowness : m_plan.calmLoad;
+    auto count = std::poisson_distribution<int>(load * m_programsPerMs * static_cast<double>(s_step.count()))(m_random);
+    for (; count > 0; --count) {
+        startProgram();
     }
 }
 
@@ -151,12 +146,11 @@
     return turns;
 }
 
-auto OverloadRun::startProgram(bool isGreedy) -> void
+auto OverloadRun::startProgram() -> void
 {
     auto program = std::make_shared<Program>();
     const auto drawn = [this](double share) { return std::uniform_real_distribution()(m_random) < share; };
     program->name = std::to_string(m_nextNumber++);
-    program->isGreedy = isGreedy;
     program->isLong = drawn(s_longShare);
     program->subAgents = drawn(program->isLong ? s_longSubAgentShare : s_shortSubAgentShare) ? s_subAgents : 0;
     program->retriesLeft = std::uniform_int_distribution(1, s_retriesMost)(m_random);
@@ -301,9 +295,6 @@
         ++(m_figures.calm.*outcome);
         return;
     }
-    if (!program.isGreedy && isOverload(program.askedAt)) {
-        ++(m_figures.overloadOfOthers.*outcome);
-    }
     ++(m_figures.perSecond[static_cast<std::size_t>(secondsBetween(m_overloadAt, program.askedAt))].*outcome);
 }
 
--- a/testing/measure/overload/overloadrun.h
+++ b/testing/measure/overload/overloadrun.h
@@ -23,7 +23,6 @@
     double slowness = 1;          ///< of all servers during the overload
     double objectiveFactor = 1.4; ///< a program is in time within this multiple of its time on idle servers and an allowance
     double speedSwing = 0.2;      ///< servers differ in speed and change it by up to this fraction
-    double greedyAccount = 0;     ///< further load from one account during the overload
     framework::Seconds warmUp{8};
     framework::Seconds duration{60}; ///< of the overload
     framework::Seconds rest{12};
@@ -47,8 +46,7 @@
     std::vector<OverloadCounts> perSecond; ///< since the start of the overload
     OverloadCounts calm;                   ///< before the overload
     OverloadCounts overload;
-    OverloadCounts overloadOfOthers; ///< without the greedy account
-    double recoverySeconds = 0;      ///< after the overload, until at least 95 in 100 of the programs that start are in time again
+    double recoverySeconds = 0; ///< after the overload, until at least 95 in 100 of the programs that start are in time again
 
     /// Programs per second in time, of those that started within the given seconds of the overload.
     auto inTimeRate(std::size_t from, std::size_t to) const -> double;
@@ -68,7 +66,6 @@
     {
         std::string name;
         bool isLong = false;
-        bool isGreedy = false;
         bool isAdmitted = false;
         bool hasEnded = false;
         int retriesLeft = 1;
@@ -103,7 +100,7 @@
     };
 
     auto arrive() -> void;
-    auto startProgram(bool isGreedy) -> void;
+    auto startProgram() -> void;
     auto tryProgram(const ProgramPtr& program, const ThreadPtr& thread) -> void;
     auto startTurn(const ThreadPtr& thread, std::size_t host) -> void;
     auto advanceServers() -> void;
