A host keeps away from a server whose answers announce its leave

Cause: nothing read the header with which a server announces its leave; a server left only by its report in the store. A host that the store refuses, or that is cut off, went on choosing a server whose own answers announced its leave.

Change: the header is decoded once into ReplyMetadata::isServerLeaving. backends::ServerLeave holds the state of one incarnation by report, answer or another host's message, and BackendRegistry::available(), from which all choices start, excludes such servers. An answer speaks for the server only if it echoes the request's id and is not a 421. The state outlives an entry that lapses. A report with the same non-zero sequence as a draining one does not end the drain any more. Log lines server_leaving and server_stays, metric requests_kept_from_leaving_servers, `leaving` in /dump.

Conclusion: the announced leave holds without the store; other hosts are not informed yet.

--- a/src/backends/backendregistry.cpp
+++ b/src/backends/backendregistry.cpp
@@ -1,5 +1,7 @@
 #include "backends/backendregistry.h"
 
+#include <algorithm>
+
 namespace laburnummill::backends {
 
 namespace {
@@ -37,7 +39,11 @@
     if (!known) {
         known = std::make_shared<Backend>();
         known->number = ++m_lastNumber;
+        if (removedServer != m_removed.end() && removedServer->second.startedAt == entry.startedAt) {
+            known->leave = removedServer->second.leave;
+        }
     }
+    known->leave->recordReport(entry.isDraining, entry.sequence, now);
     known->entry = entry;
     known->coldUntil = now + entry.remainingColdTime;
 }
@@ -92,13 +98,26 @@
 {
     auto servers = std::vector<BackendPtr>();
     for (const auto& [id, backend] : m_backends) {
-        if (backend->entry.service == service && !backend->entry.isDraining && !isDrained(backend->entry.dataCentre)) {
+        if (backend->entry.service == service && !backend->leave->isLeaving() && !isDrained(backend->entry.dataCentre)) {
             servers.push_back(backend);
         }
     }
     return servers;
 }
 
+auto BackendRegistry::isAnyLeaving(std::string_view service) const -> bool
+{
+    return std::ranges::any_of(
+        m_backends, [service](const auto& known) { return known.second->entry.service == service && known.second->leave->isLeaving(); });
+}
+
+auto BackendRegistry::areAllLeaving(std::string_view service) const -> bool
+{
+    return isAnyLeaving(service) && std::ranges::none_of(m_backends, [service](const auto& known) {
+               return known.second->entry.service == service && !known.second->leave->isLeaving();
+           });
+}
+
 auto BackendRegistry::drop(const std::string& id) -> void
 {
     const auto found = m_backends.find(id);
@@ -109,7 +128,7 @@
     if (m_removed.size() >= s_maxRemovedServers) {
         m_removed.clear();
     }
-    m_removed[id] = {.startedAt = found->second->entry.startedAt, .sequence = found->second->entry.sequence};
+    m_removed[id] = {.startedAt = found->second->entry.startedAt, .sequence = found->second->entry.sequence, .leave = found->second->leave};
     m_backends.erase(found);
 }
 
--- a/src/backends/backendregistry.h
+++ b/src/backends/backendregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backends/backendhealth.h"
+#include "backends/serverleave.h"
 #include "framework/global/time.h"
 
 #include <cstdint>
@@ -22,8 +23,8 @@
     std::string service;
     std::string address; ///< IP:PORT
     std::string dataCentre;
-    int slots = 1; ///< requests that the server runs concurrently
-    bool isDraining = false;
+    int slots = 1;                                ///< requests that the server runs concurrently
+    bool isDraining = false;                      ///< by this report; see ServerLeave for whether the server gets requests
     framework::Milliseconds remainingColdTime{0}; ///< time until the server's cold start ends
     std::int64_t sequence = 0;                    ///< increases with each report since the server started
     std::int64_t startedAt = 0;                   ///< Unix milliseconds; a different start time under the same id means a different server
@@ -44,7 +45,8 @@
     int reportedWaiting = 0; ///< queue length from the server's last response
     framework::Instant reportedAt{};
     BackendHealth health;
-    std::multiset<framework::Instant> overdueTimes; ///< times at which this host's unanswered requests become overdue
+    std::shared_ptr<ServerLeave> leave = std::make_shared<ServerLeave>(); ///< kept if the entry lapses and returns
+    std::multiset<framework::Instant> overdueTimes;                       ///< times at which this host's unanswered requests become overdue
 
     auto isCold(framework::Instant now) const -> bool { return now < coldUntil; }
 
@@ -83,9 +85,14 @@
 
     auto find(std::string_view id) const -> BackendPtr;
 
-    /// Servers of `service` that accept new work: neither draining nor in a drained data centre.
+    /// Servers of `service` that accept new work: neither known to leave nor in a drained data centre. All decisions about which
+    /// server gets a request start from these.
     auto available(std::string_view service) const -> std::vector<BackendPtr>;
 
+    /// Whether servers of `service` are known and some or all of them are known to leave.
+    auto isAnyLeaving(std::string_view service) const -> bool;
+    auto areAllLeaving(std::string_view service) const -> bool;
+
     auto all() const -> const std::unordered_map<std::string, BackendPtr>& { return m_backends; }
 
 private:
@@ -93,11 +100,12 @@
 
     std::unordered_map<std::string, BackendPtr> m_backends;
     std::map<std::string, framework::Instant> m_expired; ///< by id: the time at which the server is removed
-    /// The last report of a removed server.
+    /// The last report of a removed server, and whether the server was known to leave.
     struct RemovedServer
     {
         std::int64_t startedAt = 0;
         std::int64_t sequence = 0;
+        std::shared_ptr<ServerLeave> leave;
     };
 
     std::unordered_map<std::string, RemovedServer> m_removed;
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -1,5 +1,7 @@
 #include "serving/backendclient.h"
 
+#include "serving/serverleavelog.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -43,6 +45,13 @@
     return text + "\r\n";
 }
 
+/// Whether the response is that of the server that the request was sent to. It echoes the request's id. A server other than the
+/// one that the request names responds with 421.
+auto isFromExpectedServer(const http::response_header<>& head, const ReplyMetadata& metadata, const CallerRequest& request) -> bool
+{
+    return metadata.requestId == request.id && head.result_int() != static_cast<unsigned>(http::status::misdirected_request);
+}
+
 /// Reads the rest of a body and passes each chunk to `consume`. Returns false on an error or if `consume` returns false.
 template<class Consumer>
 auto readBody(BackendConnection& connection, Parser& parser, Consumer consume) -> Async<bool>
@@ -98,8 +107,9 @@
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
     const auto sentAt = m_clock.now();
+    result.sentAt = sentAt;
     const auto isSent = co_await send(*connection, request, target);
-    const auto isWhole = isSent && co_await receive(*connection, request, streamHandler, result);
+    const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
     result.isClosedImmediately =
         result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < sentAt + s_minWorkTime;
     if (cancellation->cancelled() && (result.outcome == AttemptOutcome::Lost || result.outcome == AttemptOutcome::Truncated)) {
@@ -123,8 +133,8 @@
     co_return !error;
 }
 
-auto BackendClient::receive(BackendConnection& connection, const CallerRequest& request, IStreamHandler* streamHandler,
-                            AttemptResult& result) -> Async<bool>
+auto BackendClient::receive(BackendConnection& connection, const backends::BackendPtr& backend, const CallerRequest& request,
+                            IStreamHandler* streamHandler, AttemptResult& result) -> Async<bool>
 {
     const auto startedAt = m_clock.now();
     for (auto stale = 0; stale <= s_maxStaleResponses; ++stale) {
@@ -148,6 +158,11 @@
         }
         result.head = head;
         result.metadata = metadata;
+        if (isFromExpectedServer(head, metadata, request)) {
+            const auto wasLeaving = backend->leave->isLeaving();
+            backend->leave->recordAnswer(metadata.isServerLeaving, result.sentAt, m_clock.now());
+            logLeaveChange(*backend, wasLeaving, m_clock.now());
+        }
         result.toHead = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
         const auto isSuccess = head.result_int() >= 200 && head.result_int() < 300;
         const auto isStreamed =
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -39,6 +39,7 @@
     http::response_header<> head;
     ReplyMetadata metadata;
     std::string body;                  ///< empty if the response was streamed
+    framework::Instant sentAt{};       ///< just before the request was sent
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
     bool isClosedImmediately = false;  ///< the connection closed without a response, sooner than a server can process a request
 };
@@ -66,8 +67,8 @@
 
 private:
     auto send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> framework::Async<bool>;
-    auto receive(BackendConnection& connection, const CallerRequest& request, IStreamHandler* streamHandler, AttemptResult& result)
-        -> framework::Async<bool>;
+    auto receive(BackendConnection& connection, const backends::BackendPtr& backend, const CallerRequest& request,
+                 IStreamHandler* streamHandler, AttemptResult& result) -> framework::Async<bool>;
 
     BackendConnectionPool& m_connections;
     const IWireCodec& m_wire;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -3,6 +3,7 @@
 #include "framework/global/digest.h"
 #include "framework/logging/boundedsink.h"
 #include "framework/logging/log.h"
+#include "serving/serverleavelog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -337,7 +338,8 @@
              {"overdue", backend->overdue(m_clock.now())},
              {"overdueElsewhere", backend->health.remoteOverdue()},
              {"slowness", backend->health.slowness()},
-             {"isDraining", backend->entry.isDraining}});
+             {"isDraining", backend->entry.isDraining},
+             {"leaving", leaveToJson(*backend->leave, m_clock.now())}});
     }
     const auto document = framework::Json{{"host", m_settings.host},
                                           {"isReady", isReady()},
--- a/src/serving/fleetstate.cpp
+++ b/src/serving/fleetstate.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleetstate.h"
 
 #include "framework/logging/log.h"
+#include "serving/serverleavelog.h"
 
 #include <algorithm>
 
@@ -89,7 +90,13 @@
     for (const auto& row : m_backendTable.apply(rows, version, isSnapshot)) {
         const auto entry = row.isRemoved ? std::nullopt : m_decoder.backendRow(row);
         if (entry) {
+            const auto before = m_backends.find(entry->id);
+            const auto wasLeaving = before && before->leave->isLeaving();
             m_backends.put(*entry, now);
+            const auto after = m_backends.find(entry->id);
+            if (after) {
+                logLeaveChange(*after, wasLeaving, now);
+            }
         } else {
             m_backends.remove(row.address.key, isAuthoritative, now);
         }
--- a/src/serving/iwirecodec.h
+++ b/src/serving/iwirecodec.h
@@ -15,6 +15,7 @@
     std::string requestId;
     bool isSigned = false;                              ///< has the signature; unsigned successful responses are not accepted
     bool saysNotRun = false;                            ///< states that the request was not run
+    bool isServerLeaving = false;                       ///< states that the server that sent it leaves
     std::optional<int> waiting;                         ///< requests queued at the server
     std::optional<framework::Milliseconds> idleTimeout; ///< of the connection
     bool isEncoded = false;                             ///< the body has a content encoding, so it differs from the original
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -179,7 +179,8 @@
     while (remainingTime() > s_minRemainingTime && !m_interruption->hasCallerDisconnected) {
         const auto backend = chooseBackend();
         if (!backend) {
-            if (last || m_context.clock.now() >= waitUntil) {
+            const auto isHopeless = m_context.fleetState.backends().areAllLeaving(m_service->name);
+            if (last || isHopeless || m_context.clock.now() >= waitUntil) {
                 co_return endUnserved(last);
             }
             auto pause = asio::steady_timer(m_context.executor, s_serverPollInterval);
@@ -220,6 +221,10 @@
 auto RequestHandler::chooseBackend() -> BackendPtr
 {
     const auto servers = m_context.fleetState.backends().available(m_service->name);
+    if (!m_isKeptFromLeavingServer && m_context.fleetState.backends().isAnyLeaving(m_service->name)) {
+        m_isKeptFromLeavingServer = true;
+        m_context.metrics.count("requests_kept_from_leaving_servers");
+    }
     const auto hosts = m_context.fleetSize();
     const auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_context.dataCentre,
                                                      .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -127,6 +127,7 @@
     /// Shared with event handlers that may run after this object is destroyed.
     std::shared_ptr<Interruption> m_interruption = std::make_shared<Interruption>();
     bool m_mayHaveRun = false;
+    bool m_isKeptFromLeavingServer = false;
     scheduling::BackendRequirements m_requirements;
     std::vector<programs::Ancestor> m_ancestors;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr auto s_leaveHeader = "Server-Leaving: 1\r\n";
+
 auto whole(const std::string& id, unsigned status, const std::string& headers, const std::string& body) -> std::string
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id + "\r\n" + headers +
@@ -73,10 +75,10 @@
 {
     const auto id = std::string(request["Request-Id"]);
     if (m_fault == EngineFault::NotRun) {
-        co_return co_await write(socket, whole(id, 503, "Not-Executed: 1\r\n", ""));
+        co_return co_await write(socket, answer(id, 503, "Not-Executed: 1\r\n", "")) && !m_isLeaving;
     }
     if (m_fault == EngineFault::Misdirected) {
-        co_return co_await write(socket, whole(id, 421, "", ""));
+        co_return co_await write(socket, answer(id, 421, "", "")) && !m_isLeaving;
     }
     m_requests.push_back(request);
     m_script.began(request);
@@ -89,7 +91,8 @@
         co_return false;
     }
     if (m_fault == EngineFault::Stray) {
-        co_await write(socket, whole("another", 200, "Response-Signature: other\r\n", "not yours"));
+        co_await write(socket, whole("another", 200, std::string("Response-Signature: other\r\n") + (m_isStrayLeaving ? s_leaveHeader : ""),
+                                     "not yours"));
     }
     const auto target = std::string_view(request.target());
     if (target.starts_with("/turns/") || target.starts_with("/drafts/")) {
@@ -97,15 +100,26 @@
     }
     co_await pause();
     const auto* signature = m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n";
-    co_return co_await write(socket, whole(id, 200, signature, m_script.body(request)));
+    co_return co_await write(socket, answer(id, 200, signature, m_script.body(request))) && !m_isLeaving;
+}
+
+auto EngineStandIn::leaveHeaders() const -> std::string
+{
+    return m_isLeaving ? std::string(s_leaveHeader) + "Connection: close\r\n" : std::string();
+}
+
+auto EngineStandIn::answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string
+{
+    return whole(id, status, leaveHeaders() + headers, body);
 }
 
 auto EngineStandIn::stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>
 {
     const auto events = m_script.events(request);
     const auto lastEvent = std::string(request["Last-Event-Id"]);
-    co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"]) +
-                               "\r\nResponse-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto isLeaving = m_isLeaving;
+    co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"]) + "\r\n" + leaveHeaders() +
+                               "Response-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (auto number = lastEvent.empty() ? std::size_t{1} : std::stoul(lastEvent) + 1; number <= events.size(); ++number) {
         co_await pause();
         const auto isLast = number == events.size();
@@ -123,7 +137,7 @@
             co_return false;
         }
     }
-    co_return co_await write(socket, "0\r\n\r\n");
+    co_return co_await write(socket, "0\r\n\r\n") && !isLeaving;
 }
 
 auto EngineStandIn::waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -70,6 +70,12 @@
     auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
     auto setFault(EngineFault fault) -> void { m_fault = fault; }
 
+    /// From now on every answer says that the server leaves, and closes its connection.
+    auto setLeaving(bool isLeaving) -> void { m_isLeaving = isLeaving; }
+
+    /// Whether the answers to other requests of EngineFault::Stray say that the server leaves.
+    auto setStrayLeaving(bool isLeaving) -> void { m_isStrayLeaving = isLeaving; }
+
     /// Connections that rest for longer are forgotten: the next request on one meets a reset.
     auto setForgetsAfter(std::chrono::milliseconds rest) -> void { m_forgetsAfter = rest; }
 
@@ -83,6 +89,8 @@
     auto accept() -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string;
+    auto leaveHeaders() const -> std::string;
     auto stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
     auto waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>;
     auto pause() -> asio::awaitable<void>;
@@ -93,6 +101,8 @@
     IEngineScript m_plainScript;
     IEngineScript& m_script;
     EngineFault m_fault = EngineFault::None;
+    bool m_isLeaving = false;
+    bool m_isStrayLeaving = false;
     std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
     std::vector<http::request<http::string_body>> m_requests;
     int m_leftEarly = 0;
