Hosts inform each other of servers whose answers announce their leave

Cause: an answer that announces a leave reaches one host; while the store is away, the others chose the server until it answered them too.

Change: heartbeats carry hashes of the incarnations (id and start time) whose answers announced a leave to the sending host within the last 8 s. At most 32 a heartbeat, up to 260 bytes, different ones in consecutive heartbeats if there are more. By calculation, at 295 hosts (one heartbeat in 1,475 ms) that is at most 52 kB per second received by a host, for 8 s. Messages of other hosts are not passed on, and are ignored for 10 s after an announced leave ended.

--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -249,6 +249,28 @@
     return found;
 }
 
+auto PeerTable::leavingBackends(Instant now) const -> std::set<std::uint64_t>
+{
+    auto found = std::set<std::uint64_t>();
+    for (const auto* peer : reachablePeers(now)) {
+        found.insert(peer->last.leaving_backends().begin(), peer->last.leaving_backends().end());
+    }
+    return found;
+}
+
+auto incarnationHash(std::string_view id, std::int64_t startedAt) -> std::uint64_t
+{
+    return framework::hash64(id, static_cast<std::uint64_t>(startedAt));
+}
+
+auto addLeavingBackends(messages::Heartbeat& heartbeat, const std::vector<std::uint64_t>& incarnations) -> void
+{
+    const auto count = std::min(incarnations.size(), s_maxLeavingBackends);
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        heartbeat.add_leaving_backends(incarnations[(heartbeat.sequence() * s_maxLeavingBackends + index) % incarnations.size()]);
+    }
+}
+
 auto backendHash(std::string_view id) -> std::uint32_t
 {
     return static_cast<std::uint32_t>(framework::hash64(id));
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -119,6 +120,9 @@
     /// Load of backend servers as reported by all reachable hosts, by backendHash().
     auto remoteBackendLoads(framework::Instant now) const -> std::map<std::uint32_t, RemoteBackendLoad>;
 
+    /// Incarnations of backend servers that reachable hosts report as leaving, by incarnationHash().
+    auto leavingBackends(framework::Instant now) const -> std::set<std::uint64_t>;
+
 private:
     auto isReachable(const Peer& peer, framework::Instant now) const -> bool;
     auto addDataCentreTargets(std::vector<const Peer*> peers, std::uint64_t sequence, framework::Instant now,
@@ -132,4 +136,13 @@
 /// Identifies a backend server in heartbeats.
 auto backendHash(std::string_view id) -> std::uint32_t;
 
+/// Identifies one incarnation of a backend server in heartbeats. `startedAt`: Unix milliseconds.
+auto incarnationHash(std::string_view id, std::int64_t startedAt) -> std::uint64_t;
+
+/// Maximum number of leaving servers in one heartbeat, 8 bytes each. If there are more, consecutive heartbeats carry different ones.
+inline constexpr auto s_maxLeavingBackends = std::size_t{32};
+
+/// Adds up to s_maxLeavingBackends of `incarnations` to the heartbeat; the first one depends on the heartbeat's sequence.
+auto addLeavingBackends(messages::Heartbeat& heartbeat, const std::vector<std::uint64_t>& incarnations) -> void;
+
 } // namespace laburnummill::peers
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -220,3 +220,24 @@
     CHECK_EQUAL(380U, table.reachablePeers(now + Milliseconds(4'000)).size());
     CHECK_EQUAL(0U, table.reachablePeers(now + Milliseconds(5'000)).size());
 }
+
+TEST(PeerTable, aReleaseOfAllServersAddsAtMost260BytesToAHeartbeatAndEachServerIsReportedInTurn)
+{
+    auto servers = std::vector<std::uint64_t>();
+    for (auto server = 0; server < 500; ++server) {
+        servers.push_back(incarnationHash("server-" + std::to_string(server), 1));
+    }
+    auto reported = std::set<std::uint64_t>();
+    for (auto sequence = std::uint64_t{1}; sequence <= 16; ++sequence) {
+        auto heartbeat = makeHeartbeat("10.0.0.2:1", 5, sequence);
+        const auto bytes = heartbeat.ByteSizeLong();
+        addLeavingBackends(heartbeat, servers);
+        CHECK_TRUE(heartbeat.ByteSizeLong() <= bytes + 260);
+        table.receive(heartbeat, now);
+        reported.merge(table.leavingBackends(now));
+    }
+    CHECK_EQUAL(500U, reported.size());
+    // A hash names one incarnation; hosts without a recent heartbeat report nothing.
+    CHECK_FALSE(reported.contains(incarnationHash("server-1", 2)));
+    CHECK_EQUAL(0U, table.leavingBackends(now + Milliseconds(1'100)).size());
+}
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/digest.h"
 #include "framework/logging/log.h"
+#include "serving/serverleavelog.h"
 #include "store/storemessages.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -155,7 +156,11 @@
 auto FleetLink::addBackends(messages::Heartbeat& heartbeat) const -> void
 {
     const auto now = m_clock.now();
+    auto leaving = std::vector<std::uint64_t>();
     for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
+        if (backend->leave->isToBeShared(now)) {
+            leaving.push_back(peers::incarnationHash(id, backend->entry.startedAt));
+        }
         const auto failures = backend->health.failureShare(now);
         const auto isReported = failures >= s_minReportedFailureShare;
         if (backend->running == 0 && !isReported) {
@@ -167,6 +172,7 @@
         use->set_overdue(static_cast<std::uint32_t>(backend->overdue(now)));
         use->set_failure_permille(isReported ? static_cast<std::uint32_t>(failures * peers::s_permille) : 0);
     }
+    peers::addLeavingBackends(heartbeat, leaving);
 }
 
 auto FleetLink::makeHeartbeat() -> messages::Heartbeat
@@ -209,11 +215,18 @@
 
 auto FleetLink::refreshBackends() -> void
 {
-    const auto reported = m_table.remoteBackendLoads(m_clock.now());
+    const auto now = m_clock.now();
+    const auto reported = m_table.remoteBackendLoads(now);
+    const auto leaving = m_table.leavingBackends(now);
     for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
         const auto found = reported.find(peers::backendHash(id));
         const auto remote = found == reported.end() ? peers::RemoteBackendLoad() : found->second;
         backend->runningRemotely = remote.running;
+        if (leaving.contains(peers::incarnationHash(id, backend->entry.startedAt))) {
+            const auto wasLeaving = backend->leave->isLeaving();
+            backend->leave->recordPeer(now);
+            logLeaveChange(*backend, wasLeaving, now);
+        }
         backend->health.setRemoteReports({.failureShares = remote.failureShares, .overdue = remote.overdue});
     }
 }
