An announced leave ends only with a new incarnation of the server

Cause, from reading: a report that says ready ended an announced leave if it followed another one received 2 s after the announcement. A feed that is further behind delivers two reports written before it, and the server was chosen again. Servers that announce their leave do not come back under the same incarnation, so nothing has to end it; the class loses its comparison of answers and reports.

--- a/src/backends/serverleave.h
+++ b/src/backends/serverleave.h
@@ -22,21 +22,20 @@
     {LeaveSource::Peer, "peer"},
 }};
 
-/// Whether one incarnation of a backend server leaves. Answers and reports have no common order, so a report that the server is
-/// ready ends an announced leave only if an earlier report of the server shows that it was written after the announcement.
+/// Whether one incarnation of a backend server leaves. A server that announces its leave in an answer does not come back under the
+/// same incarnation, so that nothing ends an announced leave: a report that says otherwise is older, however late it arrives. A
+/// leave that was only reported ends with a newer report.
 class ServerLeave
 {
 public:
-    /// Takes the server's report number `sequence`. Reports that are not newer than the last draining one are ignored.
-    /// Sequence 0 means that the report states none; only if it drains, or no announcement precedes it, does it count.
+    /// Takes the server's report number `sequence`; 0 means that the report states none. A ready report that is not newer than the
+    /// last draining one is ignored.
     auto recordReport(bool isDraining, std::int64_t sequence, framework::Instant now) -> void;
 
-    /// Takes an answer of the server to a request that was sent at `sentAt`. An answer that does not announce the leave ends an
-    /// announced leave only if its request was sent after the announcement was received.
-    auto recordAnswer(bool isLeaving, framework::Instant sentAt, framework::Instant now) -> void;
+    /// Takes an answer of the server to this host that announces its leave.
+    auto recordAnswer(framework::Instant now) -> void;
 
-    /// Takes the message of another host that an answer announced the leave. Ignored for a while after an announced leave ended:
-    /// the message may be older.
+    /// Takes the message of another host that an answer announced the leave.
     auto recordPeer(framework::Instant now) -> void;
 
     auto isLeaving() const -> bool { return m_source.has_value(); }
@@ -52,16 +51,12 @@
 
 private:
     auto begin(LeaveSource source, framework::Instant now) -> void;
-    auto end(framework::Instant now) -> void;
-    auto announce(LeaveSource source, framework::Instant now) -> void;
 
     std::optional<LeaveSource> m_source;
     framework::Instant m_since{};
-    std::optional<std::int64_t> m_drainingSequence;  ///< of the last draining report
-    std::optional<std::int64_t> m_laterSequence;     ///< of a report that was written after the last announcement
-    std::optional<framework::Instant> m_announcedAt; ///< last announcement by an answer or another host
-    std::optional<framework::Instant> m_answeredAt;  ///< last announcement by an answer to this host
-    std::optional<framework::Instant> m_announcedLeaveEndedAt;
+    bool m_isAnnounced = false;                     ///< by an answer to this or another host
+    std::optional<std::int64_t> m_drainingSequence; ///< of the last draining report
+    std::optional<framework::Instant> m_answeredAt; ///< last announcement by an answer to this host
 };
 
 } // namespace laburnummill::backends
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -107,7 +107,6 @@
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
     const auto sentAt = m_clock.now();
-    result.sentAt = sentAt;
     const auto isSent = co_await send(*connection, request, target);
     const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
     result.isClosedImmediately =
@@ -158,9 +157,9 @@
         }
         result.head = head;
         result.metadata = metadata;
-        if (isFromExpectedServer(head, metadata, request)) {
+        if (metadata.isServerLeaving && isFromExpectedServer(head, metadata, request)) {
             const auto wasLeaving = backend->leave->isLeaving();
-            backend->leave->recordAnswer(metadata.isServerLeaving, result.sentAt, m_clock.now());
+            backend->leave->recordAnswer(m_clock.now());
             logLeaveChange(*backend, wasLeaving, m_clock.now());
         }
         result.toHead = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -39,7 +39,6 @@
     http::response_header<> head;
     ReplyMetadata metadata;
     std::string body;                  ///< empty if the response was streamed
-    framework::Instant sentAt{};       ///< just before the request was sent
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
     bool isClosedImmediately = false;  ///< the connection closed without a response, sooner than a server can process a request
 };
--- a/src/serving/serverleavelog.cpp
+++ b/src/serving/serverleavelog.cpp
@@ -22,7 +22,7 @@
         return;
     }
     framework::logEvent(
-        framework::LogLevel::Info, "serving", wasLeaving ? "server_stays" : "server_leaving",
+        framework::LogLevel::Info, "serving", wasLeaving ? "server_ready_again" : "server_leaving",
         {{"server", backend.entry.id}, {"startedAt", backend.entry.startedAt}, {"leave", leaveToJson(*backend.leave, now)}});
 }
 
