--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -260,9 +260,10 @@
 
 auto CallerConnection::connectionField() -> std::string_view
 {
-    // A caller does not read further responses after one with 'close', so a request that has already arrived is answered first.
-    const auto hasFurtherRequest = m_buffer.size() > 0 || hasPendingBytes(m_socket.native_handle());
-    m_keepAlive = m_keepAlive && (hasFurtherRequest || !m_context.servingContext.shutdown.hasBegun());
+    if (m_keepAlive && m_context.servingContext.shutdown.hasBegun()) {
+        // A caller does not read further responses after one with 'close', so a request that has already arrived is answered first.
+        m_keepAlive = m_buffer.size() > 0 || hasPendingBytes(m_socket.native_handle());
+    }
     return m_keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
 }
 
