Attempts log the framing of their response and whether their stream ended inside an event

The line request_ended now has 'framing' for each attempt that read a header (length, chunks, connection_end) and 'insideEvent' where its stream stopped in the middle of an event.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -52,6 +52,14 @@
     return metadata.requestId == request.id && head.result_int() != static_cast<unsigned>(http::status::misdirected_request);
 }
 
+auto framingOf(const Parser& parser) -> ResponseFraming
+{
+    if (parser.chunked()) {
+        return ResponseFraming::Chunks;
+    }
+    return parser.need_eof() ? ResponseFraming::ConnectionEnd : ResponseFraming::Length;
+}
+
 /// Reads the rest of a body and passes each chunk to `consume`. Returns false on an error or if `consume` returns false.
 template<class Consumer>
 auto readBody(BackendConnection& connection, Parser& parser, Consumer consume) -> Async<bool>
@@ -157,6 +165,7 @@
         }
         result.head = head;
         result.metadata = metadata;
+        result.framing = framingOf(parser);
         if (metadata.isServerLeaving && isFromExpectedServer(head, metadata, request)) {
             const auto wasLeaving = backend->leave->isLeaving();
             backend->leave->recordAnswer(m_clock.now());
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -33,9 +33,24 @@
     {AttemptOutcome::Overdue, "overdue"},
 }};
 
+/// What marks the end of a response's body.
+enum class ResponseFraming
+{
+    Length,        ///< its length is in the header
+    Chunks,        ///< its last chunk
+    ConnectionEnd, ///< the end of the connection
+};
+
+inline constexpr auto s_responseFramingNames = framework::NameTable<ResponseFraming, 3>{{
+    {ResponseFraming::Length, "length"},
+    {ResponseFraming::Chunks, "chunks"},
+    {ResponseFraming::ConnectionEnd, "connection_end"},
+}};
+
 struct AttemptResult
 {
     AttemptOutcome outcome = AttemptOutcome::NotSent;
+    std::optional<ResponseFraming> framing; ///< nullopt if no response header was read
     http::response_header<> head;
     ReplyMetadata metadata;
     std::string body;                  ///< empty if the response was streamed
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -81,6 +81,8 @@
     /// Ends a request that no server answered: a started response is aborted, otherwise the refusal is returned.
     auto endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
+    /// Whether the last attempt's stream ended in the middle of an event.
+    auto endedInsideEvent() const -> bool;
     /// Key of the latency of a stream's first event. The latency between events has the route's name as key.
     auto firstEventLatencyKind() const -> std::string { return m_route->name + "/first"; }
     auto watchProgress(std::shared_ptr<AttemptWatch> watch) -> void;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -83,6 +83,12 @@
                                  {"tookMs", took.count()},
                                  {"running", backend->running},
                                  {"elsewhere", backend->runningRemotely}};
+    if (result.framing) {
+        entry["framing"] = framework::nameOf(s_responseFramingNames, *result.framing);
+    }
+    if (endedInsideEvent()) {
+        entry["insideEvent"] = true;
+    }
     if (m_continuation && m_request.lastEventId) {
         entry["after"] = *m_request.lastEventId;
     }
@@ -93,6 +99,11 @@
     co_return result;
 }
 
+auto RequestHandler::endedInsideEvent() const -> bool
+{
+    return m_continuation ? m_continuation->isInsideEvent() : !m_events.isBetweenEvents();
+}
+
 auto RequestHandler::watchProgress(std::shared_ptr<AttemptWatch> watch) -> void
 {
     watch->timer.expires_at(std::chrono::steady_clock::time_point(m_progressDeadline.time_since_epoch()));
--- a/src/serving/streamcontinuation.h
+++ b/src/serving/streamcontinuation.h
@@ -41,6 +41,9 @@
     /// Returns the bytes after the last event of a response that ended completely.
     auto takeRemainder() -> std::string;
 
+    /// Whether the current run has sent a part of an event, but not its end.
+    auto isInsideEvent() const -> bool { return !m_pending.empty(); }
+
     /// Id of the last event that was returned, here or in the caller's earlier response; the next run continues after it.
     auto lastEvent() const -> std::optional<std::uint64_t> { return m_lastEvent; }
 
