--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -20,6 +20,19 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+auto breaksStreamsOff(EngineFault fault) -> bool
+{
+    return fault == EngineFault::BreakOff || fault == EngineFault::BreakInside || fault == EngineFault::EndInside ||
+           fault == EngineFault::Reset || fault == EngineFault::Stall;
+}
+
+auto reset(asio::ip::tcp::socket& socket) -> void
+{
+    auto ignored = boost::system::error_code();
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 auto chunk(const std::string& data) -> std::string
 {
     auto length = std::string(8, '\0');
@@ -63,7 +76,7 @@
             co_return;
         }
         if (std::chrono::steady_clock::now() > restsSince + m_forgetsAfter) {
-            socket.set_option(asio::socket_base::linger(true, 0), error);
+            reset(socket);
             co_return;
         }
         isOpen = co_await respond(socket, request);
@@ -98,9 +111,47 @@
     if (target.starts_with("/turns/") || target.starts_with("/drafts/")) {
         co_return co_await stream(socket, request);
     }
+    co_return co_await answerPlain(socket, request);
+}
+
+auto EngineStandIn::answerPlain(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>
+{
     co_await pause();
+    const auto id = std::string(request["Request-Id"]);
+    const auto body = m_script.body(request);
     const auto* signature = m_fault == EngineFault::Unsigned ? "" : "Response-Signature: s1\r\n";
-    co_return co_await write(socket, answer(id, 200, signature, m_script.body(request))) && !m_isLeaving;
+    auto text = answer(id, 200, signature, body);
+    if (m_framing == EngineFraming::ConnectionEnd) {
+        text = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + leaveHeaders() + signature + "\r\n" + body;
+    }
+    if (m_fault == EngineFault::Reset) {
+        co_await write(socket, text.substr(0, text.size() - body.size() / 2));
+        reset(socket);
+        co_return false;
+    }
+    co_return co_await write(socket, text) && !m_isLeaving && m_framing == EngineFraming::Explicit;
+}
+
+auto EngineStandIn::frame(const std::string& data) const -> std::string
+{
+    return m_framing == EngineFraming::Explicit ? chunk(data) : data;
+}
+
+/// Sends what a stream with a fault sends in place of its last event.
+auto EngineStandIn::breakOff(asio::ip::tcp::socket& socket, const std::string& event) -> asio::awaitable<void>
+{
+    if (m_fault == EngineFault::BreakInside || m_fault == EngineFault::EndInside || m_fault == EngineFault::Reset) {
+        co_await write(socket, frame(event.substr(0, event.size() - 2)));
+    }
+    if (m_fault == EngineFault::EndInside && m_framing == EngineFraming::Explicit) {
+        co_await write(socket, "0\r\n\r\n");
+    }
+    if (m_fault == EngineFault::Reset) {
+        reset(socket);
+    }
+    if (m_fault == EngineFault::Stall) {
+        co_await waitUntilClosed(socket);
+    }
 }
 
 auto EngineStandIn::leaveHeaders() const -> std::string
@@ -119,24 +170,26 @@
     const auto lastEvent = std::string(request["Last-Event-Id"]);
     const auto isLeaving = m_isLeaving;
     co_await write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"]) + "\r\n" + leaveHeaders() +
-                               "Response-Signature: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                               "Response-Signature: s2\r\nContent-Type: text/event-stream\r\n" +
+                               (m_framing == EngineFraming::Explicit ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    if (m_fault == EngineFault::BreakAtHead) {
+        co_return false;
+    }
     for (auto number = lastEvent.empty() ? std::size_t{1} : std::stoul(lastEvent) + 1; number <= events.size(); ++number) {
         co_await pause();
         const auto isLast = number == events.size();
         const auto event = "id: " + std::to_string(number) + "\ndata: " + events[number - 1] + "\n\n";
-        if (isLast && m_fault == EngineFault::BreakInside) {
-            co_await write(socket, chunk(event.substr(0, event.size() - 2)));
-        }
-        if (isLast && m_fault == EngineFault::Stall) {
-            co_await waitUntilClosed(socket);
-        }
-        if (isLast && (m_fault == EngineFault::BreakOff || m_fault == EngineFault::BreakInside || m_fault == EngineFault::Stall)) {
+        if (isLast && breaksStreamsOff(m_fault)) {
+            co_await breakOff(socket, event);
             co_return false;
         }
-        if (!co_await write(socket, chunk(event))) {
+        if (!co_await write(socket, frame(event))) {
             co_return false;
         }
     }
+    if (m_framing == EngineFraming::ConnectionEnd) {
+        co_return false;
+    }
     co_return co_await write(socket, "0\r\n\r\n") && !isLeaving;
 }
 
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -24,11 +24,21 @@
     Stray,       ///< another request's answer stands before the right one
     BreakOff,    ///< the stream ends in its middle
     BreakInside, ///< the stream ends in the middle of its last event
+    EndInside,   ///< as BreakInside, but its framing is completed
+    BreakAtHead, ///< the connection ends after the header of the answer
+    Reset,       ///< the connection is reset in the middle of the answer
     Stall,       ///< the stream stops before its last event, its connection stays open
     Unsigned,    ///< a success without a signature
     Hang,        ///< no answer
 };
 
+/// What marks the end of an answer's body.
+enum class EngineFraming
+{
+    Explicit,      ///< a length, of a stream its last chunk
+    ConnectionEnd, ///< the end of the connection
+};
+
 /// What a stand-in of a backend server answers, and who is told what it ran.
 class IEngineScript
 {
@@ -70,6 +80,8 @@
     auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
     auto setFault(EngineFault fault) -> void { m_fault = fault; }
 
+    auto setFraming(EngineFraming framing) -> void { m_framing = framing; }
+
     /// From now on every answer says that the server leaves, and closes its connection.
     auto setLeaving(bool isLeaving) -> void { m_isLeaving = isLeaving; }
 
@@ -89,6 +101,9 @@
     auto accept() -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto answerPlain(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto breakOff(asio::ip::tcp::socket& socket, const std::string& event) -> asio::awaitable<void>;
+    auto frame(const std::string& data) const -> std::string;
     auto answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string;
     auto leaveHeaders() const -> std::string;
     auto stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
@@ -101,6 +116,7 @@
     IEngineScript m_plainScript;
     IEngineScript& m_script;
     EngineFault m_fault = EngineFault::None;
+    EngineFraming m_framing = EngineFraming::Explicit;
     bool m_isLeaving = false;
     bool m_isStrayLeaving = false;
     std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
