The end of a response's framing no longer completes a stream that ends inside an event

Cause: a response was complete when its framing was. A response with neither a length nor chunks ends with its connection, and a server that crashes closes it in the same way as one that has finished. The host then ended its own chunked response properly. Class: a statement on the content taken from the transport.

Change: the client of backend servers asks the reader of the content as well. isCompleteStream, without I/O: a stream that ends inside an event is broken off whatever the framing, one that ends with its connection before its first event too. The attempt then counts as broken off: nothing is stored, the caller's connection closes without a last chunk, a resumable stream goes on at another server, the server's health records a failure. Comments between events are no part of one.

Why it works: every way to a completed response or a stored turn leads through the outcome 'answered', which such an attempt no longer has.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -186,7 +186,7 @@
             result.body += bytes;
             co_return true;
         };
-        if (!co_await readBody(connection, parser, consume)) {
+        if (!co_await readBody(connection, parser, consume) || (isStreamed && !streamHandler->isComplete(*result.framing))) {
             co_return false;
         }
         const auto isNotRun = metadata.saysNotRun && !isSuccess;
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -2,6 +2,7 @@
 
 #include "serving/backendconnectionpool.h"
 #include "serving/iresponsewriter.h"
+#include "serving/responseframing.h"
 
 #include <functional>
 
@@ -33,20 +34,6 @@
     {AttemptOutcome::Overdue, "overdue"},
 }};
 
-/// What marks the end of a response's body.
-enum class ResponseFraming
-{
-    Length,        ///< its length is in the header
-    Chunks,        ///< its last chunk
-    ConnectionEnd, ///< the end of the connection
-};
-
-inline constexpr auto s_responseFramingNames = framework::NameTable<ResponseFraming, 3>{{
-    {ResponseFraming::Length, "length"},
-    {ResponseFraming::Chunks, "chunks"},
-    {ResponseFraming::ConnectionEnd, "connection_end"},
-}};
-
 struct AttemptResult
 {
     AttemptOutcome outcome = AttemptOutcome::NotSent;
@@ -66,6 +53,9 @@
 
     virtual auto onHead(const http::response_header<>& head) -> framework::Async<bool> = 0;
     virtual auto onChunk(std::string_view bytes) -> framework::Async<bool> = 0;
+
+    /// Whether the content is complete if its body, framed as `framing`, ends here.
+    virtual auto isComplete(ResponseFraming framing) const -> bool = 0;
 };
 
 /// Sends requests to backend servers and reads their responses.
--- a/src/serving/eventscanner.cpp
+++ b/src/serving/eventscanner.cpp
@@ -30,7 +30,7 @@
         m_eventData.clear();
         m_hasData = false;
         m_hasFields = false;
-    } else {
+    } else if (line.front() != s_commentMark) {
         m_hasFields = true;
     }
     if (line.starts_with(dataField)) {
--- a/src/serving/eventscanner.h
+++ b/src/serving/eventscanner.h
@@ -17,10 +17,12 @@
     /// Data of all complete events, each followed by a line feed.
     auto data() const -> const std::string& { return m_data; }
 
-    /// Whether the last event is complete and no further one has started.
-    auto isBetweenEvents() const -> bool { return m_line.empty() && !m_hasFields; }
+    /// Whether the last event is complete and no further one has started. Comments are no part of an event.
+    auto isBetweenEvents() const -> bool { return (m_line.empty() || m_line.front() == s_commentMark) && !m_hasFields; }
 
 private:
+    static constexpr auto s_commentMark = ':';
+
     auto endLine() -> void;
 
     std::string m_line;
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -64,6 +64,7 @@
 
     auto onHead(const http::response_header<>& head) -> framework::Async<bool> override;
     auto onChunk(std::string_view bytes) -> framework::Async<bool> override;
+    auto isComplete(ResponseFraming framing) const -> bool override;
 
 private:
     auto forward(std::string_view bytes) -> framework::Async<bool>;
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -188,6 +188,11 @@
     co_return !m_continuation->fault();
 }
 
+auto RequestHandler::isComplete(ResponseFraming framing) const -> bool
+{
+    return isCompleteStream(framing, m_events.events() - m_eventsBeforeAttempt, endedInsideEvent());
+}
+
 auto RequestHandler::forward(std::string_view bytes) -> Async<bool>
 {
     m_events.feed(bytes);
--- a/src/serving/streamcontinuation.cpp
+++ b/src/serving/streamcontinuation.cpp
@@ -1,5 +1,7 @@
 #include "serving/streamcontinuation.h"
 
+#include "serving/eventscanner.h"
+
 #include <charconv>
 #include <utility>
 
@@ -91,6 +93,13 @@
     return true;
 }
 
+auto StreamContinuation::isInsideEvent() const -> bool
+{
+    auto rest = EventScanner();
+    rest.feed(m_pending);
+    return !rest.isBetweenEvents();
+}
+
 auto StreamContinuation::takeRemainder() -> std::string
 {
     m_scanned = 0;
--- a/src/serving/streamcontinuation.h
+++ b/src/serving/streamcontinuation.h
@@ -42,7 +42,7 @@
     auto takeRemainder() -> std::string;
 
     /// Whether the current run has sent a part of an event, but not its end.
-    auto isInsideEvent() const -> bool { return !m_pending.empty(); }
+    auto isInsideEvent() const -> bool;
 
     /// Id of the last event that was returned, here or in the caller's earlier response; the next run continues after it.
     auto lastEvent() const -> std::optional<std::uint64_t> { return m_lastEvent; }
--- a/src/serving/tests/servingdecisionstest.cpp
+++ b/src/serving/tests/servingdecisionstest.cpp
@@ -3,6 +3,7 @@
 #include "serving/fleetstate.h"
 #include "serving/latencytracker.h"
 #include "serving/quarantine.h"
+#include "serving/responseframing.h"
 #include "serving/servingerrors.h"
 
 #include <CppUTest/TestHarness.h>
@@ -89,6 +90,31 @@
     CHECK_EQUAL(std::string(" two spaces\nnone\n"), scanner.data());
 }
 
+TEST(EventScanner, commentsAreNoPartOfAnEvent)
+{
+    scanner.feed("id: 1\ndata: one\n\n: end");
+    CHECK_TRUE(scanner.isBetweenEvents());
+    scanner.feed("\nid");
+    CHECK_FALSE(scanner.isBetweenEvents());
+}
+
+TEST_GROUP(CompleteStream){};
+
+TEST(CompleteStream, theFramingDoesNotCompleteAnEvent)
+{
+    for (const auto framing : {ResponseFraming::Length, ResponseFraming::Chunks, ResponseFraming::ConnectionEnd}) {
+        CHECK_FALSE(isCompleteStream(framing, 3, true));
+        CHECK_TRUE(isCompleteStream(framing, 3, false));
+    }
+}
+
+TEST(CompleteStream, theEndOfAConnectionBeforeTheFirstEventDoesNotCompleteAStream)
+{
+    CHECK_FALSE(isCompleteStream(ResponseFraming::ConnectionEnd, 0, false));
+    CHECK_TRUE(isCompleteStream(ResponseFraming::Length, 0, false));
+    CHECK_TRUE(isCompleteStream(ResponseFraming::Chunks, 0, false));
+}
+
 TEST_GROUP(Quarantine)
 {
     Quarantine quarantine;
--- a/src/serving/tests/streamcontinuationtest.cpp
+++ b/src/serving/tests/streamcontinuationtest.cpp
@@ -54,6 +54,7 @@
         auto received = broken.feed(whole.substr(0, cut));
         CHECK_TRUE(whole.starts_with(received)); // No incomplete event is passed on.
         CHECK_TRUE(received.empty() || received.ends_with("\n\n"));
+        CHECK_EQUAL(received.size() < cut, broken.isInsideEvent());
         broken.beginRun();
         received += broken.feed(eventsAfter(broken.lastEvent().value_or(0)));
         CHECK_EQUAL(whole, received);
@@ -114,5 +115,6 @@
 TEST(StreamContinuation, bytesAfterTheLastEventOfACompleteResponseAreKept)
 {
     CHECK_EQUAL(event(1), stream.feed(event(1) + ": end"));
+    CHECK_FALSE(stream.isInsideEvent());
     CHECK_EQUAL(std::string(": end"), stream.takeRemainder());
 }
