A response without end is broken off at a bounded size

What callers would see: a server in trouble that sends a body, or one event, without end made the host take up to 64 MiB a response, of which a turn's event was kept twice; small hosts have 88 MB, so that one such server could end the process and all that it served.

Cause: the only limit on a response was a constant above any host's memory.

Evidence: EntryHostEndlessAnswers on the code before: aBodyWithoutEnd and both anEventWithoutEnd red (more than 16 MiB taken, or held until its caller left and then without any mark on the server's health); aHeaderWithoutEnd green.

Change: ResponseMemory, without I/O: all responses of a host together occupy at most an eighth of its memory, one of them at most an eighth of that. What exceeds it counts as broken off: 502 or a closed connection for the caller, a failure of the server, not a slow answer; 'tooLarge' in the line request_ended.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -18,9 +18,8 @@
 using framework::CancellationPtr;
 using framework::Milliseconds;
 
-/// Both limits exceed any header or unstreamed body of a backend server's response.
+/// Exceeds any header of a backend server's response.
 constexpr auto s_headLimit = std::uint32_t{64 * 1024};
-constexpr auto s_bodyLimit = std::uint64_t{64 * 1024 * 1024};
 
 /// Maximum number of responses to earlier requests that may precede the expected response.
 constexpr auto s_maxStaleResponses = 3;
@@ -61,8 +60,9 @@
 }
 
 /// Reads the rest of a body and passes each chunk to `consume`. Returns false on an error or if `consume` returns false.
+/// `isTooLarge` is set if the body exceeds the parser's limit.
 template<class Consumer>
-auto readBody(BackendConnection& connection, Parser& parser, Consumer consume) -> Async<bool>
+auto readBody(BackendConnection& connection, Parser& parser, bool& isTooLarge, Consumer consume) -> Async<bool>
 {
     auto storage = std::array<char, s_chunkBytes>();
     while (!parser.is_done()) {
@@ -73,6 +73,7 @@
         if (error == http::error::need_buffer) {
             error = {};
         }
+        isTooLarge = isTooLarge || error == http::error::body_limit;
         const auto read = storage.size() - parser.get().body().size;
         if (error || (read > 0 && !co_await consume(std::string_view(storage.data(), read)))) {
             co_return false;
@@ -83,16 +84,19 @@
 
 } // namespace
 
-BackendClient::BackendClient(BackendConnectionPool& connections, const IWireCodec& wire, const framework::IClock& clock)
+BackendClient::BackendClient(BackendConnectionPool& connections, const IWireCodec& wire, const framework::IClock& clock,
+                             std::uint64_t hostMemory)
     : m_connections(connections)
     , m_wire(wire)
     , m_clock(clock)
+    , m_memory(hostMemory)
 {}
 
 auto BackendClient::attempt(const backends::BackendPtr& backend, const CallerRequest& request, BackendTarget target,
                             IStreamHandler* streamHandler, CancellationPtr cancellation) -> Async<AttemptResult>
 {
     auto result = AttemptResult();
+    result.memory = ResponseMemory::Share(m_memory);
     result.head.result(0U); // 0 means that no response header was read.
     const auto startedAt = m_clock.now();
     const auto connection = co_await m_connections.acquire(backend, cancellation);
@@ -147,18 +151,20 @@
     for (auto stale = 0; stale <= s_maxStaleResponses; ++stale) {
         auto parser = Parser();
         parser.header_limit(s_headLimit);
-        parser.body_limit(s_bodyLimit);
+        parser.body_limit(m_memory.maxResponse());
         parser.skip(request.method == "HEAD");
         auto error = boost::system::error_code();
         co_await http::async_read_header(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
+            result.isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
             co_return false;
         }
         const auto& head = parser.get().base();
         const auto metadata = m_wire.decodeReply(head);
         if (!metadata.requestId.empty() && metadata.requestId != request.id) {
             // The response to an abandoned request; the expected response follows it.
-            if (!co_await readBody(connection, parser, [](std::string_view) -> Async<bool> { co_return true; }) || !parser.keep_alive()) {
+            if (!co_await readBody(connection, parser, result.isTooLarge, [](std::string_view) -> Async<bool> { co_return true; }) ||
+                !parser.keep_alive()) {
                 co_return false;
             }
             continue;
@@ -180,13 +186,18 @@
             co_return false;
         }
         const auto consume = [&result, streamHandler, isStreamed](std::string_view bytes) -> Async<bool> {
+            if (!result.memory.grow(bytes.size())) {
+                result.isTooLarge = true;
+                co_return false;
+            }
             if (isStreamed) {
                 co_return co_await streamHandler->onChunk(bytes);
             }
             result.body += bytes;
             co_return true;
         };
-        if (!co_await readBody(connection, parser, consume) || (isStreamed && !streamHandler->isComplete(*result.framing))) {
+        if (!co_await readBody(connection, parser, result.isTooLarge, consume) ||
+            (isStreamed && !streamHandler->isComplete(*result.framing))) {
             co_return false;
         }
         const auto isNotRun = metadata.saysNotRun && !isSuccess;
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -3,6 +3,7 @@
 #include "serving/backendconnectionpool.h"
 #include "serving/iresponsewriter.h"
 #include "serving/responseframing.h"
+#include "serving/responsememory.h"
 
 #include <functional>
 
@@ -41,6 +42,8 @@
     http::response_header<> head;
     ReplyMetadata metadata;
     std::string body;                  ///< empty if the response was streamed
+    ResponseMemory::Share memory;      ///< what the response occupies
+    bool isTooLarge = false;           ///< the response was abandoned because of its size
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
     bool isClosedImmediately = false;  ///< the connection closed without a response, sooner than a server can process a request
 };
@@ -62,7 +65,7 @@
 class BackendClient
 {
 public:
-    BackendClient(BackendConnectionPool& connections, const IWireCodec& wire, const framework::IClock& clock);
+    BackendClient(BackendConnectionPool& connections, const IWireCodec& wire, const framework::IClock& clock, std::uint64_t hostMemory);
 
     /// Makes one attempt. If `streamHandler` is not null, successful responses are streamed to it; all others are read into
     /// the result's body.
@@ -77,6 +80,7 @@
     BackendConnectionPool& m_connections;
     const IWireCodec& m_wire;
     const framework::IClock& m_clock;
+    ResponseMemory m_memory;
 };
 
 } // namespace laburnummill::serving
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -67,7 +67,7 @@
     , m_storeWatcher(context.get_executor(), external.store, external.feed, m_store.directWay(), m_fleetState, external.rows, m_clock)
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
     , m_connections(context.get_executor(), m_clock)
-    , m_backendClient(m_connections, external.wire, m_clock)
+    , m_backendClient(m_connections, external.wire, m_clock, m_settings.memoryBytes)
     , m_servingContext{.executor = context.get_executor(),
                        .clock = m_clock,
                        .metrics = m_metrics,
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -86,6 +86,9 @@
     if (result.framing) {
         entry["framing"] = framework::nameOf(s_responseFramingNames, *result.framing);
     }
+    if (result.isTooLarge) {
+        entry["tooLarge"] = true;
+    }
     if (endedInsideEvent()) {
         entry["insideEvent"] = true;
     }
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -99,6 +99,19 @@
         co_await write(socket, "this is no answer\r\n\r\n");
         co_return false;
     }
+    if (m_fault == EngineFault::EndlessHead) {
+        co_await writeWithoutEnd(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n", "X-Field: value\r\n");
+        co_return false;
+    }
+    if (m_fault == EngineFault::EndlessHint) {
+        co_await writeWithoutEnd(socket, "", "HTTP/1.1 100 Continue\r\n\r\n");
+        co_return false;
+    }
+    if (m_fault == EngineFault::EndlessBody) {
+        co_await writeWithoutEnd(
+            socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s1\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: ", "x");
+        co_return false;
+    }
     if (m_fault == EngineFault::Hang) {
         co_await waitUntilClosed(socket);
         co_return false;
@@ -193,6 +206,20 @@
     co_return co_await write(socket, "0\r\n\r\n") && !isLeaving;
 }
 
+auto EngineStandIn::writeWithoutEnd(asio::ip::tcp::socket& socket, std::string start, std::string repeated) -> asio::awaitable<void>
+{
+    constexpr auto blockBytes = std::size_t{16 * 1024};
+    auto block = std::string();
+    while (block.size() < blockBytes) {
+        block += repeated;
+    }
+    auto isOpen = co_await write(socket, std::move(start));
+    while (isOpen) {
+        isOpen = co_await write(socket, block);
+        m_endlessBytes += isOpen ? block.size() : 0;
+    }
+}
+
 auto EngineStandIn::waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>
 {
     auto byte = std::array<char, 1>();
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -27,6 +27,9 @@
     EndInside,   ///< as BreakInside, but its framing is completed
     BreakAtHead, ///< the connection ends after the header of the answer
     Reset,       ///< the connection is reset in the middle of the answer
+    EndlessHead, ///< a header without end
+    EndlessHint, ///< informational responses without end
+    EndlessBody, ///< a body, of a stream an event, without end
     Stall,       ///< the stream stops before its last event, its connection stays open
     Unsigned,    ///< a success without a signature
     Hang,        ///< no answer
@@ -94,6 +97,9 @@
     /// Requests that it began to work on, with bodies.
     auto requests() const -> const std::vector<http::request<http::string_body>>& { return m_requests; }
 
+    /// Bytes that its answers without end have handed to their connections.
+    auto endlessBytes() const -> std::size_t { return m_endlessBytes; }
+
     /// Connections that were closed while it worked on a request.
     auto leftEarly() const -> int { return m_leftEarly; }
 
@@ -107,6 +113,7 @@
     auto answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string;
     auto leaveHeaders() const -> std::string;
     auto stream(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto writeWithoutEnd(asio::ip::tcp::socket& socket, std::string start, std::string repeated) -> asio::awaitable<void>;
     auto waitUntilClosed(asio::ip::tcp::socket& socket) -> asio::awaitable<void>;
     auto pause() -> asio::awaitable<void>;
     auto write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>;
@@ -121,6 +128,7 @@
     bool m_isStrayLeaving = false;
     std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
     std::vector<http::request<http::string_body>> m_requests;
+    std::size_t m_endlessBytes = 0;
     int m_leftEarly = 0;
 };
 
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -159,15 +159,28 @@
 }
 
 auto EntryFleet::sendRaw(std::size_t host, const std::string& bytes) -> std::string
+{
+    return sendRawTo(callerEndpoint(host), bytes);
+}
+
+auto EntryFleet::stateOf(std::size_t host) -> framework::Json
+{
+    const auto endpoint = peers::parseEndpoint(*m_hosts[host]->settings.metricsAddress).value();
+    const auto answer = sendRawTo(endpoint, "GET /dump HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto bodyAt = answer.find("\r\n\r\n");
+    return bodyAt == std::string::npos ? framework::Json() : framework::parseJson(answer.substr(bodyAt + 4)).value_or(framework::Json());
+}
+
+auto EntryFleet::sendRawTo(const asio::ip::tcp::endpoint& endpoint, const std::string& bytes) -> std::string
 {
     auto answer = std::make_shared<std::string>();
     auto isDone = std::make_shared<bool>(false);
     asio::co_spawn(
         m_context,
-        [this, host, bytes, answer, isDone]() -> asio::awaitable<void> {
+        [this, endpoint, bytes, answer, isDone]() -> asio::awaitable<void> {
             auto socket = asio::ip::tcp::socket(m_context);
             auto error = boost::system::error_code();
-            co_await socket.async_connect(callerEndpoint(host), asio::redirect_error(asio::use_awaitable, error));
+            co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
             auto piece = std::array<char, 4'096>();
             while (!error) {
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/json.h"
 #include "platform/httpstore.h"
 #include "platform/rowdecoder.h"
 #include "platform/wire.h"
@@ -49,6 +50,9 @@
     /// Sends bytes as they are; returns all that came back until the connection ended or nothing came for a while.
     auto sendRaw(std::size_t host, const std::string& bytes) -> std::string;
 
+    /// A host's dump of its state.
+    auto stateOf(std::size_t host) -> framework::Json;
+
     /// Sends a request and leaves without waiting for the answer.
     auto askAndLeave(std::size_t host, const Ask& request) -> void;
 
@@ -59,6 +63,8 @@
     auto putEngine(const std::string& id, const std::string& address, const std::string& state) -> void;
 
 private:
+    auto sendRawTo(const asio::ip::tcp::endpoint& endpoint, const std::string& bytes) -> std::string;
+
     struct Running
     {
         serving::HostSettings settings;
