An informational response of a server is no longer passed on as the answer

What callers would see: status 100 with a length in place of the answer, which then arrived on a connection that was taken for free, or was dropped.

Cause: the first header that a server sends was taken for that of the answer.

Evidence: informationalResponsesWithoutEndAreBrokenOff on the code before: the caller got status 100, logged as answered.

Change: informational responses are skipped, at most three with responses to earlier requests; 101, which no request asks for, breaks the attempt off.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -21,8 +21,8 @@
 /// Exceeds any header of a backend server's response.
 constexpr auto s_headLimit = std::uint32_t{64 * 1024};
 
-/// Maximum number of responses to earlier requests that may precede the expected response.
-constexpr auto s_maxStaleResponses = 3;
+/// Maximum number of responses to earlier requests, and of informational ones, that may precede the expected response.
+constexpr auto s_maxSkippedResponses = 3;
 
 /// Servers take longer than this to process a request, and the latency between data centres is 1 ms. If a connection closes
 /// sooner, the server had already dropped it.
@@ -148,7 +148,7 @@
                             IStreamHandler* streamHandler, AttemptResult& result) -> Async<bool>
 {
     const auto startedAt = m_clock.now();
-    for (auto stale = 0; stale <= s_maxStaleResponses; ++stale) {
+    for (auto skipped = 0; skipped <= s_maxSkippedResponses; ++skipped) {
         auto parser = Parser();
         parser.header_limit(s_headLimit);
         parser.body_limit(m_memory.maxResponse());
@@ -160,6 +160,12 @@
             co_return false;
         }
         const auto& head = parser.get().base();
+        if (head.result() == http::status::switching_protocols) {
+            co_return false; // No request asks for it.
+        }
+        if (http::to_status_class(head.result_int()) == http::status_class::informational) {
+            continue;
+        }
         const auto metadata = m_wire.decodeReply(head);
         if (!metadata.requestId.empty() && metadata.requestId != request.id) {
             // The response to an abandoned request; the expected response follows it.
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -116,6 +116,9 @@
         co_await waitUntilClosed(socket);
         co_return false;
     }
+    if (m_fault == EngineFault::Hint) {
+        co_await write(socket, "HTTP/1.1 102 Processing\r\n\r\n");
+    }
     if (m_fault == EngineFault::Stray) {
         co_await write(socket, whole("another", 200, std::string("Response-Signature: other\r\n") + (m_isStrayLeaving ? s_leaveHeader : ""),
                                      "not yours"));
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -27,6 +27,7 @@
     EndInside,   ///< as BreakInside, but its framing is completed
     BreakAtHead, ///< the connection ends after the header of the answer
     Reset,       ///< the connection is reset in the middle of the answer
+    Hint,        ///< an informational response stands before the right one
     EndlessHead, ///< a header without end
     EndlessHint, ///< informational responses without end
     EndlessBody, ///< a body, of a stream an event, without end
