Processes that tests start no longer inherit the descriptors of the test

Cause: a spawned host inherited every socket that the test had open. A connection that an engine stand-in closed then stayed open in the child, and its peer saw no end until that child ended; the host took the stream for stalled (overdue after 900 ms, at 4.3 s, when hosts are spawned).

Change: a child closes what is above standard error.

--- a/testing/faultsoak/tests/programstarttest.cpp
+++ b/testing/faultsoak/tests/programstarttest.cpp
@@ -2,12 +2,15 @@
 #include "platform/settingsreader.h"
 #include "support/childprocess.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include <poll.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -68,3 +71,14 @@
     const auto exitCode = program.terminate();
     CHECK_EQUAL(0, exitCode);
 }
+
+TEST(ProgramStart, aDescriptorThatTheParentClosesIsNotKeptOpenByAChild)
+{
+    auto ends = std::array<int, 2>();
+    CHECK_EQUAL(0, ::pipe(ends.data()));
+    auto child = testing::ChildProcess("/bin/sleep", {"20"}, folder + "/log");
+    ::close(ends[1]);
+    auto waited = ::pollfd{.fd = ends[0], .events = POLLIN, .revents = 0};
+    CHECK_EQUAL(1, ::poll(&waited, 1, 1'000));
+    ::close(ends[0]);
+}
--- a/testing/support/childprocess.cpp
+++ b/testing/support/childprocess.cpp
@@ -1,11 +1,15 @@
 #include "testing/support/childprocess.h"
 
+#include <fmt/format.h>
+
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdint>
+#include <fstream>
 #include <utility>
 
 namespace laburnummill::testing {
@@ -14,6 +18,7 @@
 
 constexpr auto s_logMode = 0644;
 constexpr auto s_signalOffset = 128;
+constexpr auto s_hexadecimal = 16;
 
 auto exitCode(int status) -> int
 {
@@ -36,6 +41,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_CREAT | O_WRONLY | O_APPEND, s_logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket that the parent closes would stay open in the child, and its peer would not see its end.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (posix_spawn(&m_id, program.c_str(), &actions, nullptr, pointers.data(), environ) != 0) {
         m_id = -1;
     }
@@ -73,6 +80,19 @@
     return exitCode(status);
 }
 
+auto ChildProcess::handles(int signal) const -> bool
+{
+    auto status = std::ifstream(fmt::format("/proc/{}/status", m_id));
+    auto line = std::string();
+    auto masks = std::uint64_t{0};
+    while (std::getline(status, line)) {
+        if (line.starts_with("SigBlk:") || line.starts_with("SigIgn:") || line.starts_with("SigCgt:")) {
+            masks |= std::stoull(line.substr(line.find(':') + 1), nullptr, s_hexadecimal);
+        }
+    }
+    return (masks >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
 auto ChildProcess::send(int signal) -> void
 {
     if (m_id > 0) {
--- a/testing/support/childprocess.h
+++ b/testing/support/childprocess.h
@@ -27,6 +27,9 @@
     /// The exit code as of wait() where the process has ended since, once; does not wait.
     auto ended() -> std::optional<int>;
 
+    /// Whether the process catches, ignores or blocks a signal. Otherwise the signal's default action would end it.
+    auto handles(int signal) const -> bool;
+
     /// Sends a signal, e.g. SIGSTOP to freeze the process and SIGCONT to let it go on.
     auto send(int signal) -> void;
 
