A server whose entry is removed soon after an outage is no longer used beyond the grace period

Cause: after an outage a removed entry is kept for 2.2 s, in case it had only expired. The end of that time was looked at after a call to the store only, which is a long poll of up to 2 s. And the outage itself ended for a host with such a call, up to 2 s after the store's return, where nothing else changed.

Change: expired entries are dropped by the maintenance loop, every 50 ms; while the store counts as lost, its changes are asked for without waiting.

Why it works: the grace period now ends at most 2.7 s after the store's return, before a host counts as in touch again (3 s).

--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -163,6 +163,7 @@
         timer.expires_after(s_limitsPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         applyLimits();
+        m_fleetState.backends().expire(m_clock.now());
         m_link.setReady(isReady());
         sinceMaintenance += s_limitsPeriod;
         if (sinceMaintenance < s_maintenancePeriod) {
--- a/src/serving/storewatcher.cpp
+++ b/src/serving/storewatcher.cpp
@@ -62,7 +62,6 @@
             continue;
         }
         needsFullRead = needsFullRead && !result;
-        m_fleetState.backends().expire(m_clock.now());
         timer.expires_after(result ? s_batchInterval : s_retryDelay);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -94,7 +93,9 @@
 auto StoreWatcher::readChanges(std::string table, bool isOperatorTable) -> AsyncResult<void>
 {
     const auto& copy = isOperatorTable ? m_fleetState.operatorTable() : m_fleetState.backendTable();
-    auto page = co_await m_feed.changes({.table = table, .after = copy.version(), .waitMilliseconds = s_longPollMilliseconds});
+    // A store that has returned answers a long poll only at the next change; the grace period of expired entries starts before.
+    const auto wait = m_isStoreUnreachable ? 0 : s_longPollMilliseconds;
+    auto page = co_await m_feed.changes({.table = table, .after = copy.version(), .waitMilliseconds = wait});
     if (!page) {
         co_return page.error();
     }
