Fault soak: a host that is stopped before it has entered its main function breaks no promise

Cause: until a process has entered its main function the default action of a signal ends it; no program can prevent that, and it has accepted nothing.

Evidence: the harness reads the signal masks of the process (caught, ignored, blocked) right before it sends the signal. A host that is asked to stop as it is spawned has none for SIGTERM and ends with 143 in 5 of 5; a host that runs has one.

Change: only an end by that very signal, of a process whose masks did not hold it, is counted apart (ended_before_main); every other end but 0 stays a violation.

--- a/testing/faultsoak/main.cpp
+++ b/testing/faultsoak/main.cpp
@@ -95,9 +95,16 @@
     for (const auto& violation : promises.violations()) {
         violations.push_back({{"promise", nameOf(violation.promise)}, {"detail", violation.detail}});
     }
-    std::cout << Json{{"seed", chosen.seed},     {"mixture", nameOf(chosen.mixture)}, {"hosts", chosen.fleet.hosts},
-                      {"faults", faults},        {"attempts", promises.attempts()},   {"answered", promises.answered()},
-                      {"statuses", statuses},    {"stops", promises.stops().stops()}, {"cut_off_beside_faults", promises.stops().excused()},
+    std::cout << Json{{"seed", chosen.seed},
+                      {"mixture", nameOf(chosen.mixture)},
+                      {"hosts", chosen.fleet.hosts},
+                      {"faults", faults},
+                      {"attempts", promises.attempts()},
+                      {"answered", promises.answered()},
+                      {"statuses", statuses},
+                      {"stops", promises.stops().stops()},
+                      {"ended_before_main", promises.stops().endsBeforeMain()},
+                      {"cut_off_beside_faults", promises.stops().excused()},
                       {"violations", violations}}
                      .dump()
               << '\n';
--- a/testing/faultsoak/soakfleet.cpp
+++ b/testing/faultsoak/soakfleet.cpp
@@ -30,6 +30,7 @@
 constexpr auto s_readyPort = std::uint16_t{7'004};
 constexpr auto s_controlPort = std::uint16_t{7'005};
 constexpr auto s_firstHost = 11;
+constexpr auto s_endedByStopSignal = 128 + SIGTERM;
 
 /// The process is gone within its grace period; the rest is the busy machine's.
 constexpr auto s_stopReserve = std::chrono::seconds(1);
@@ -170,9 +171,11 @@
 
 auto SoakFleet::askToStop(int host) -> void
 {
+    auto& asked = *m_hosts[static_cast<std::size_t>(host)];
+    asked.handledStop = asked.process && asked.process->handles(SIGTERM);
     signal(host, SIGTERM);
     m_promises.stops().stopBegan(host, framework::SystemClock().now());
-    m_hosts[static_cast<std::size_t>(host)]->askedToStopAt = std::chrono::steady_clock::now();
+    asked.askedToStopAt = std::chrono::steady_clock::now();
 }
 
 auto SoakFleet::hasStopped(int host) -> bool
@@ -182,7 +185,10 @@
         return true;
     }
     if (const auto code = asked.process->ended()) {
-        if (*code != 0) {
+        // A process that has not yet entered its main function cannot handle a signal, and has accepted nothing.
+        if (!asked.handledStop && *code == s_endedByStopSignal) {
+            m_promises.stops().endedBeforeMain();
+        } else if (*code != 0) {
             m_promises.broken(Promise::StopsClean, fmt::format("host-{} ended with {}", host, *code));
         }
         kill(host);
--- a/testing/faultsoak/soakfleet.h
+++ b/testing/faultsoak/soakfleet.h
@@ -55,6 +55,9 @@
     /// Whether a host that was asked to stop has ended; tells `promises` where it ended otherwise than it should.
     auto hasStopped(int host) -> bool;
 
+    /// Whether a host's process handled the signal that asks it to stop when it was last sent.
+    auto handledStop(int host) const -> bool { return m_hosts[static_cast<std::size_t>(host)]->handledStop; }
+
     auto isRunning(int host) -> bool { return m_hosts[static_cast<std::size_t>(host)]->process.has_value(); }
 
     /// Heartbeats from one data centre to another are dropped from now on, or no more.
@@ -94,6 +97,7 @@
         std::unique_ptr<ConnectionProxy> peerPath;
         std::unique_ptr<DatagramProxy> heartbeatPath;
         std::optional<std::chrono::steady_clock::time_point> askedToStopAt;
+        bool handledStop = true; ///< the process had begun to handle the signal when it was asked to stop
     };
 
     struct Engine
--- a/testing/faultsoak/stoprecord.h
+++ b/testing/faultsoak/stoprecord.h
@@ -55,6 +55,10 @@
     /// Why the end of an attempt breaks the promise of a graceful stop; none if it does not.
     auto failureOf(const AttemptEnd& end) -> std::optional<std::string>;
 
+    /// A host's process ended by the default action of the signal, before it had entered its main function.
+    auto endedBeforeMain() -> void { ++m_endsBeforeMain; }
+    auto endsBeforeMain() const -> int { return m_endsBeforeMain; }
+
     /// Stops that began.
     auto stops() const -> int { return m_stopCount; }
 
@@ -83,6 +87,7 @@
     std::map<int, std::vector<Span>> m_stops;
     std::map<Place, Disturbance> m_disturbances;
     int m_stopCount = 0;
+    int m_endsBeforeMain = 0;
     std::vector<std::string> m_excused;
 };
 
--- a/testing/faultsoak/tests/soakcheckstest.cpp
+++ b/testing/faultsoak/tests/soakcheckstest.cpp
@@ -107,6 +107,26 @@
     CHECK_TRUE(isBroken(Promise::StopsClean));
 }
 
+TEST(SoakChecks, whetherAProcessHandlesASignalIsReadFromItsSignalMasks)
+{
+    const auto log = std::string(LABURNUMMILL_BUILD_FOLDER) + "/faultsoak-logs/checks/sleep.log";
+    auto unprepared = ChildProcess("/bin/sleep", {"20"}, log);
+    CHECK_FALSE(unprepared.handles(SIGTERM));
+    fleet.askToStop(0);
+    CHECK_TRUE(fleet.handledStop(0));
+}
+
+TEST(SoakChecks, aHostThatIsAskedToStopAsItIsSpawnedBreaksNone)
+{
+    for (auto time = 0; time < 5; ++time) {
+        fleet.kill(0);
+        fleet.start(0, false);
+        fleet.askToStop(0);
+        CHECK_TRUE(until([this] { return fleet.hasStopped(0); }));
+        CHECK_FALSE(isBroken(Promise::StopsClean));
+    }
+}
+
 TEST(SoakChecks, hostsThatDoNotHearOfADrainOrAWithdrawnKeyAreNoticed)
 {
     for (auto host = 0; host < fleet.hosts(); ++host) {
