--- a/testing/faultsoak/soakfleet.cpp
+++ b/testing/faultsoak/soakfleet.cpp
@@ -32,6 +32,9 @@
 constexpr auto s_firstHost = 11;
 constexpr auto s_endedByStopSignal = 128 + SIGTERM;
 
+/// Each engine whose number is a multiple of it ends its answers with their connection.
+constexpr auto s_unframedEngineInterval = 2;
+
 /// The process is gone within its grace period; the rest is the busy machine's.
 constexpr auto s_stopReserve = std::chrono::seconds(1);
 
@@ -86,6 +89,9 @@
     putConfiguration(true);
     for (auto number = 0; number < plan.engines; ++number) {
         m_engines.push_back(std::make_unique<Engine>(context, Script(promises, number, plan.eventPause)));
+        if (number % s_unframedEngineInterval == 0) {
+            m_engines.back()->standIn.setFraming(EngineFraming::ConnectionEnd);
+        }
         putEngine(number, "ready");
     }
     for (auto host = 0; host < plan.hosts; ++host) {
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -162,7 +162,8 @@
     if (m_fault == EngineFault::EndInside && m_framing == EngineFraming::Explicit) {
         co_await write(socket, "0\r\n\r\n");
     }
-    if (m_fault == EngineFault::Reset) {
+    // Between events, only a reset tells a break from the end where the end of the connection is the end of the stream.
+    if (m_fault == EngineFault::Reset || (m_fault == EngineFault::BreakOff && m_framing == EngineFraming::ConnectionEnd)) {
         reset(socket);
     }
     if (m_fault == EngineFault::Stall) {
