--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -82,6 +82,44 @@
     co_return true;
 }
 
+/// Reads the rest of the expected response and decides the attempt's outcome. Returns whether the connection can be kept.
+auto receiveBody(BackendConnection& connection, Parser& parser, const CallerRequest& request, IStreamHandler* streamHandler,
+                 AttemptResult& result) -> Async<bool>
+{
+    const auto& head = result.head;
+    const auto& metadata = result.metadata;
+    const auto isSuccess = head.result_int() >= 200 && head.result_int() < 300;
+    const auto isStreamed =
+        streamHandler != nullptr && isSuccess && metadata.isSigned && !metadata.isEncoded && metadata.requestId == request.id;
+    result.outcome = AttemptOutcome::Truncated;
+    if (isStreamed && !co_await streamHandler->onHead(head)) {
+        co_return false;
+    }
+    const auto consume = [&result, streamHandler, isStreamed](std::string_view bytes) -> Async<bool> {
+        if (!result.memory.grow(bytes.size())) {
+            result.isTooLarge = true;
+            co_return false;
+        }
+        if (isStreamed) {
+            co_return co_await streamHandler->onChunk(bytes);
+        }
+        result.body += bytes;
+        co_return true;
+    };
+    if (!co_await readBody(connection, parser, result.isTooLarge, consume) || (isStreamed && !streamHandler->isComplete(*result.framing))) {
+        co_return false;
+    }
+    const auto isNotRun = metadata.saysNotRun && !isSuccess;
+    result.outcome = isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Answered;
+    if (head.result_int() == static_cast<unsigned>(http::status::misdirected_request)) {
+        result.outcome = AttemptOutcome::Misdirected;
+    } else if (isSuccess && (!metadata.isSigned || metadata.isEncoded || metadata.requestId != request.id)) {
+        result.outcome = AttemptOutcome::Lost;
+    }
+    connection.idleTimeout = metadata.idleTimeout.value_or(Milliseconds(0));
+    co_return parser.keep_alive() && !parser.need_eof() && result.outcome != AttemptOutcome::Lost;
+}
+
 } // namespace
 
 BackendClient::BackendClient(BackendConnectionPool& connections, const IWireCodec& wire, const framework::IClock& clock,
@@ -184,37 +222,7 @@
             logLeaveChange(*backend, wasLeaving, m_clock.now());
         }
         result.toHead = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
-        const auto isSuccess = head.result_int() >= 200 && head.result_int() < 300;
-        const auto isStreamed =
-            streamHandler != nullptr && isSuccess && metadata.isSigned && !metadata.isEncoded && metadata.requestId == request.id;
-        result.outcome = AttemptOutcome::Truncated;
-        if (isStreamed && !co_await streamHandler->onHead(head)) {
-            co_return false;
-        }
-        const auto consume = [&result, streamHandler, isStreamed](std::string_view bytes) -> Async<bool> {
-            if (!result.memory.grow(bytes.size())) {
-                result.isTooLarge = true;
-                co_return false;
-            }
-            if (isStreamed) {
-                co_return co_await streamHandler->onChunk(bytes);
-            }
-            result.body += bytes;
-            co_return true;
-        };
-        if (!co_await readBody(connection, parser, result.isTooLarge, consume) ||
-            (isStreamed && !streamHandler->isComplete(*result.framing))) {
-            co_return false;
-        }
-        const auto isNotRun = metadata.saysNotRun && !isSuccess;
-        result.outcome = isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Answered;
-        if (head.result_int() == static_cast<unsigned>(http::status::misdirected_request)) {
-            result.outcome = AttemptOutcome::Misdirected;
-        } else if (isSuccess && (!metadata.isSigned || metadata.isEncoded || metadata.requestId != request.id)) {
-            result.outcome = AttemptOutcome::Lost;
-        }
-        connection.idleTimeout = metadata.idleTimeout.value_or(Milliseconds(0));
-        co_return parser.keep_alive() && !parser.need_eof() && result.outcome != AttemptOutcome::Lost;
+        co_return co_await receiveBody(connection, parser, request, streamHandler, result);
     }
     co_return false;
 }
