Limits that backend servers state in their answers are decoded and logged

A server in need states in its answers the rate of requests that it accepts from all hosts together. Nothing read that, so that the logs could not tell whether a server had stated a limit, when, and to which host.

StatedLimit keeps the latest statement of one incarnation: an answer to a later request ends it, and it is outdated after some seconds. Logs: server_limited, server_limit_ended, limitPerSecond of an attempt; the dump has each server's limit; answers_with_server_limit is counted. No decision uses it yet.

--- a/src/backends/backendregistry.cpp
+++ b/src/backends/backendregistry.cpp
@@ -41,6 +41,7 @@
         known->number = ++m_lastNumber;
         if (removedServer != m_removed.end() && removedServer->second.startedAt == entry.startedAt) {
             known->leave = removedServer->second.leave;
+            known->limit = removedServer->second.limit;
         }
     }
     known->leave->recordReport(entry.isDraining, entry.sequence, now);
@@ -128,7 +129,10 @@
     if (m_removed.size() >= s_maxRemovedServers) {
         m_removed.clear();
     }
-    m_removed[id] = {.startedAt = found->second->entry.startedAt, .sequence = found->second->entry.sequence, .leave = found->second->leave};
+    m_removed[id] = {.startedAt = found->second->entry.startedAt,
+                     .sequence = found->second->entry.sequence,
+                     .leave = found->second->leave,
+                     .limit = found->second->limit};
     m_backends.erase(found);
 }
 
--- a/src/backends/backendregistry.h
+++ b/src/backends/backendregistry.h
@@ -2,6 +2,7 @@
 
 #include "backends/backendhealth.h"
 #include "backends/serverleave.h"
+#include "backends/statedlimit.h"
 #include "framework/global/time.h"
 
 #include <cstdint>
@@ -46,6 +47,7 @@
     framework::Instant reportedAt{};
     BackendHealth health;
     std::shared_ptr<ServerLeave> leave = std::make_shared<ServerLeave>(); ///< kept if the entry lapses and returns
+    std::shared_ptr<StatedLimit> limit = std::make_shared<StatedLimit>(); ///< as above
     std::multiset<framework::Instant> overdueTimes;                       ///< times at which this host's unanswered requests become overdue
 
     auto isCold(framework::Instant now) const -> bool { return now < coldUntil; }
@@ -100,12 +102,13 @@
 
     std::unordered_map<std::string, BackendPtr> m_backends;
     std::map<std::string, framework::Instant> m_expired; ///< by id: the time at which the server is removed
-    /// The last report of a removed server, and whether the server was known to leave.
+    /// The last report of a removed server, and what its answers stated.
     struct RemovedServer
     {
         std::int64_t startedAt = 0;
         std::int64_t sequence = 0;
         std::shared_ptr<ServerLeave> leave;
+        std::shared_ptr<StatedLimit> limit;
     };
 
     std::unordered_map<std::string, RemovedServer> m_removed;
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -1,6 +1,7 @@
 #include "serving/backendclient.h"
 
 #include "serving/serverleavelog.h"
+#include "serving/serverlimitlog.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -51,6 +52,20 @@
     return metadata.requestId == request.id && head.result_int() != static_cast<unsigned>(http::status::misdirected_request);
 }
 
+/// Records what the header of a server's answer states about the server itself.
+auto recordStatements(const backends::Backend& backend, const ReplyMetadata& metadata, framework::Instant sentAt, framework::Instant now)
+    -> void
+{
+    if (metadata.isServerLeaving) {
+        const auto wasLeaving = backend.leave->isLeaving();
+        backend.leave->recordAnswer(now);
+        logLeaveChange(backend, wasLeaving, now);
+    }
+    const auto limit = backend.limit->current(now);
+    backend.limit->recordAnswer(metadata.limitPerSecond, sentAt, now);
+    logLimitChange(backend, limit, now);
+}
+
 auto framingOf(const Parser& parser) -> ResponseFraming
 {
     if (parser.chunked()) {
@@ -156,11 +171,11 @@
     target.remainingTime -= std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
-    const auto sentAt = m_clock.now();
+    result.sentAt = m_clock.now();
     const auto isSent = co_await send(*connection, request, target);
     const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
     result.isClosedImmediately =
-        result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < sentAt + s_minWorkTime;
+        result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
     if (cancellation->cancelled() && (result.outcome == AttemptOutcome::Lost || result.outcome == AttemptOutcome::Truncated)) {
         result.outcome = AttemptOutcome::Cancelled;
         co_return result;
@@ -216,10 +231,8 @@
         result.head = head;
         result.metadata = metadata;
         result.framing = framingOf(parser);
-        if (metadata.isServerLeaving && isFromExpectedServer(head, metadata, request)) {
-            const auto wasLeaving = backend->leave->isLeaving();
-            backend->leave->recordAnswer(m_clock.now());
-            logLeaveChange(*backend, wasLeaving, m_clock.now());
+        if (isFromExpectedServer(head, metadata, request)) {
+            recordStatements(*backend, metadata, result.sentAt, m_clock.now());
         }
         result.toHead = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
         co_return co_await receiveBody(connection, parser, request, streamHandler, result);
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -44,6 +44,7 @@
     std::string body;                  ///< empty if the response was streamed
     ResponseMemory::Share memory;      ///< what the response occupies
     bool isTooLarge = false;           ///< the response was abandoned because of its size
+    framework::Instant sentAt{};       ///< when sending the request began
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
     bool isClosedImmediately = false;  ///< the connection closed without a response, sooner than a server can process a request
 };
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -4,6 +4,7 @@
 #include "framework/logging/boundedsink.h"
 #include "framework/logging/log.h"
 #include "serving/serverleavelog.h"
+#include "serving/serverlimitlog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -341,7 +342,8 @@
              {"overdueElsewhere", backend->health.remoteOverdue()},
              {"slowness", backend->health.slowness()},
              {"isDraining", backend->entry.isDraining},
-             {"leaving", leaveToJson(*backend->leave, m_clock.now())}});
+             {"leaving", leaveToJson(*backend->leave, m_clock.now())},
+             {"limit", limitToJson(backend->limit->current(m_clock.now()), m_clock.now())}});
     }
     const auto document = framework::Json{{"host", m_settings.host},
                                           {"isReady", isReady()},
--- a/src/serving/iwirecodec.h
+++ b/src/serving/iwirecodec.h
@@ -16,6 +16,7 @@
     bool isSigned = false;                              ///< has the signature; unsigned successful responses are not accepted
     bool saysNotRun = false;                            ///< states that the request was not run
     bool isServerLeaving = false;                       ///< states that the server that sent it leaves
+    std::optional<double> limitPerSecond;               ///< requests per second that the server accepts from all hosts together
     std::optional<int> waiting;                         ///< requests queued at the server
     std::optional<framework::Milliseconds> idleTimeout; ///< of the connection
     bool isEncoded = false;                             ///< the body has a content encoding, so it differs from the original
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -86,6 +86,10 @@
     if (result.framing) {
         entry["framing"] = framework::nameOf(s_responseFramingNames, *result.framing);
     }
+    if (result.metadata.limitPerSecond) {
+        entry["limitPerSecond"] = *result.metadata.limitPerSecond;
+        m_context.metrics.count("answers_with_server_limit");
+    }
     if (result.isTooLarge) {
         entry["tooLarge"] = true;
     }
