A host that is cut off from the backend servers connects to them through another host

Cause: a host took each failed connection for a fault of that server and tried the next one, 250 ms each, until the caller left. The class of fault: what distinguishes a fault of a server from one of the own path is known to no host by itself. Leaving the rotation does not help where most hosts of a data centre are affected, or callers have open connections.

Change: ServerReach decides, without I/O: failures at two servers within 2 s are a reason to try five others; if none of these can be reached either, the host is cut off, until a connection succeeds. While it is cut off, its connections lead through another host that reaches the servers (heartbeats say which do), of the own data centre first: a connection between the two hosts whose bytes are copied to and from the server, so that streams, deadlines, cancellation and resets work as on a direct one. Idle connections are dropped unless answers still arrive on such. A host relays at most 250 connections, and none to a server that leaves or is drained. Logs: servers_unreachable, servers_reachable, relayed of an attempt; the dump has isCutOffFromServers.

Tests, with the decision always 'not cut off': 6 of 8 red in EntryHostStranded (at the wire, through a path that is silent, reset or refuses new connections), 3 of 8 in ServerReach (virtual time); all green with it.

--- a/src/peers/peertransport.cpp
+++ b/src/peers/peertransport.cpp
@@ -163,6 +163,9 @@
         if (!frame || !request.ParseFromString(*frame)) {
             co_return;
         }
+        if (request.body_case() == messages::Request::kRelayQuery) {
+            co_return co_await serveRelay(std::make_shared<asio::ip::tcp::socket>(std::move(writer->socket())), request.relay_query());
+        }
         asio::co_spawn(
             m_executor,
             [this, writer, request = std::move(request)]() mutable -> Async<void> {
@@ -176,4 +179,20 @@
     }
 }
 
+auto PeerTransport::serveRelay(SocketPtr socket, messages::RelayQuery query) -> Async<void>
+{
+    const auto server = m_relays < s_maxRelays ? co_await m_handler.connectForPeer(std::move(query)) : nullptr;
+    auto response = messages::Response();
+    response.set_is_relayed(server != nullptr);
+    const auto frame = encodeFrame(response);
+    auto error = boost::system::error_code();
+    co_await asio::async_write(*socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
+    if (error || !server) {
+        co_return;
+    }
+    ++m_relays;
+    co_await relay(socket, server);
+    --m_relays;
+}
+
 } // namespace laburnummill::peers
--- a/src/peers/peertransport.h
+++ b/src/peers/peertransport.h
@@ -30,6 +30,9 @@
     auto call(std::string address, messages::Request request, framework::Milliseconds timeout)
         -> framework::AsyncResult<messages::Response>;
 
+    /// Connections that this host relays for others.
+    auto relays() const -> int { return m_relays; }
+
     /// Bytes sent to other hosts since the start.
     auto sentBytes() const -> std::uint64_t { return m_sentBytes; }
 
@@ -37,8 +40,10 @@
     auto receiveLoop() -> framework::Async<void>;
     auto acceptLoop() -> framework::Async<void>;
     auto serve(framework::asio::ip::tcp::socket socket) -> framework::Async<void>;
+    auto serveRelay(SocketPtr socket, messages::RelayQuery query) -> framework::Async<void>;
 
     static constexpr auto s_maxDatagramSize = std::size_t{65'536};
+    static constexpr auto s_maxRelays = 250; ///< connections relayed for other hosts at a time, two sockets and some 10 KB each
 
     framework::asio::any_io_executor m_executor;
     IPeerHandler& m_handler;
@@ -46,6 +51,7 @@
     framework::asio::ip::tcp::acceptor m_acceptor;
     std::map<std::string, std::shared_ptr<PeerLink>, std::less<>> m_links;
     std::uint64_t m_sentBytes = 0;
+    int m_relays = 0;
 };
 
 /// Parses IP:PORT. Returns nullopt if `address` is not in this form.
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -29,6 +29,9 @@
 /// sooner, the server had already dropped it.
 constexpr auto s_minWorkTime = Milliseconds(6);
 
+/// If nothing arrives for this long after a request was sent, the network path may be broken.
+constexpr auto s_silence = Milliseconds(500);
+
 constexpr auto s_chunkBytes = std::size_t{16 * 1024};
 
 using Parser = http::response_parser<http::buffer_body>;
@@ -169,6 +172,7 @@
         co_return result;
     }
     target.remainingTime -= std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
+    result.isRelayed = connection->isRelayed;
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
     result.sentAt = m_clock.now();
@@ -176,6 +180,10 @@
     const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
     result.isClosedImmediately =
         result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
+    const auto isSilent = result.head.result_int() == 0 && connection->buffer.size() == 0 && m_clock.now() >= result.sentAt + s_silence;
+    if (isSilent) {
+        m_connections.reportSilence(*backend, *connection);
+    }
     if (cancellation->cancelled() && (result.outcome == AttemptOutcome::Lost || result.outcome == AttemptOutcome::Truncated)) {
         result.outcome = AttemptOutcome::Cancelled;
         co_return result;
@@ -212,6 +220,7 @@
             result.isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
             co_return false;
         }
+        m_connections.reportAnswer(connection);
         const auto& head = parser.get().base();
         if (head.result() == http::status::switching_protocols) {
             co_return false; // No request asks for it.
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -43,6 +43,7 @@
     ReplyMetadata metadata;
     std::string body;                  ///< empty if the response was streamed
     ResponseMemory::Share memory;      ///< what the response occupies
+    bool isRelayed = false;            ///< the connection led through another host
     bool isTooLarge = false;           ///< the response was abandoned because of its size
     framework::Instant sentAt{};       ///< when sending the request began
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
--- a/src/serving/backendconnectionpool.cpp
+++ b/src/serving/backendconnectionpool.cpp
@@ -1,11 +1,6 @@
 #include "serving/backendconnectionpool.h"
 
 #include "framework/logging/log.h"
-#include "peers/peertransport.h"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -14,14 +9,10 @@
 
 namespace {
 
-namespace asio = boost::asio;
 using framework::Async;
 using framework::CancellationPtr;
 using framework::Milliseconds;
 
-/// The latency between data centres is 1 ms, and an accept takes 1 ms; a server that takes longer is unreachable.
-constexpr auto s_connectTimeout = Milliseconds(250);
-
 /// Used if a server states no timeout; shorter than the usual defaults of servers.
 constexpr auto s_defaultIdleTimeout = Milliseconds(4'000);
 
@@ -48,8 +39,8 @@
 
 } // namespace
 
-BackendConnectionPool::BackendConnectionPool(asio::any_io_executor executor, const framework::IClock& clock)
-    : m_executor(std::move(executor))
+BackendConnectionPool::BackendConnectionPool(ServerConnector& connector, const framework::IClock& clock)
+    : m_connector(connector)
     , m_clock(clock)
 {}
 
@@ -116,38 +107,17 @@
 
 auto BackendConnectionPool::connect(const backends::BackendPtr& backend, CancellationPtr cancellation) -> Async<BackendConnectionPtr>
 {
-    const auto endpoint = peers::parseEndpoint(backend->entry.address);
-    if (!endpoint) {
-        co_return nullptr;
-    }
-    const auto connection = std::make_shared<BackendConnection>(m_executor);
-    const auto weak = std::weak_ptr(connection);
-    cancellation->onCancel([weak] {
-        if (const auto found = weak.lock()) {
-            auto ignored = boost::system::error_code();
-            found->socket.close(ignored);
-        }
-    });
-    auto timer = asio::steady_timer(m_executor, s_connectTimeout);
-    timer.async_wait([weak](const boost::system::error_code& error) {
-        const auto found = weak.lock();
-        if (!error && found) {
-            auto ignored = boost::system::error_code();
-            found->socket.close(ignored);
-        }
-    });
     ++m_createdCount;
-    auto error = boost::system::error_code();
-    co_await connection->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
-    timer.cancel();
-    if (error || !connection->socket.is_open()) {
+    auto connected = co_await m_connector.connect(backend, std::move(cancellation));
+    if (!connected.socket || !connected.socket->is_open()) {
         co_return nullptr;
     }
+    const auto connection = std::make_shared<BackendConnection>(std::move(*connected.socket));
+    connection->isRelayed = connected.isRelayed;
     const auto pool = m_pools.find(backend.get());
     if (pool != m_pools.end() && pool->second.idleTimeBeforeReset.count() > 0) {
         reduceIdleLimit(*backend, std::exchange(pool->second.idleTimeBeforeReset, {}));
     }
-    connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
     ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &s_tcpUserTimeoutMilliseconds,
                  sizeof(s_tcpUserTimeoutMilliseconds));
     co_return connection;
@@ -160,9 +130,24 @@
     return m_clock.now() < m_idleLimitUntil ? std::min(usable, m_idleLimit) : usable;
 }
 
+auto BackendConnectionPool::reportAnswer(const BackendConnection& connection) -> void
+{
+    if (!connection.isRelayed) {
+        m_connector.reportAnswer();
+    }
+}
+
+auto BackendConnectionPool::reportSilence(const backends::Backend& backend, const BackendConnection& connection) -> void
+{
+    if (!connection.isRelayed) {
+        m_connector.reportSilence(backend);
+    }
+}
+
 auto BackendConnectionPool::isReusable(BackendConnection& connection) const -> bool
 {
-    return m_clock.now() < connection.idleSince + maxIdleTime(connection) && isIdle(connection.socket.native_handle());
+    const auto isUsable = connection.isRelayed ? m_connector.isCutOff() : m_connector.areIdleConnectionsUsable();
+    return isUsable && m_clock.now() < connection.idleSince + maxIdleTime(connection) && isIdle(connection.socket.native_handle());
 }
 
 } // namespace laburnummill::serving
--- a/src/serving/backendconnectionpool.h
+++ b/src/serving/backendconnectionpool.h
@@ -4,6 +4,7 @@
 #include "framework/global/async.h"
 #include "framework/global/cancellation.h"
 #include "framework/global/iclock.h"
+#include "serving/serverconnector.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -17,14 +18,15 @@
 /// A connection to one incarnation of a backend server. It carries one request at a time.
 struct BackendConnection
 {
-    explicit BackendConnection(const framework::asio::any_io_executor& executor)
-        : socket(executor)
+    explicit BackendConnection(framework::asio::ip::tcp::socket connected)
+        : socket(std::move(connected))
     {}
 
     framework::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     framework::Milliseconds idleTimeout{0}; ///< as stated by the server; 0 if it states none
     framework::Instant idleSince{};
+    bool isRelayed = false;              ///< through another host
     int requests = 0;                    ///< number of requests sent on it
     framework::Milliseconds idleTime{0}; ///< how long it was idle before the current request
 };
@@ -35,7 +37,7 @@
 class BackendConnectionPool
 {
 public:
-    BackendConnectionPool(framework::asio::any_io_executor executor, const framework::IClock& clock);
+    BackendConnectionPool(ServerConnector& connector, const framework::IClock& clock);
 
     /// Returns a pooled connection that is still open, or a new one. Returns null if connecting fails or is cancelled.
     auto acquire(const backends::BackendPtr& backend, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
@@ -48,6 +50,10 @@
     /// was idle for half that time or longer.
     auto reportReset(const backends::BackendPtr& backend, const BackendConnection& connection) -> void;
 
+    /// Reports that the connection delivered the header of an answer, or nothing for an unusually long time.
+    auto reportAnswer(const BackendConnection& connection) -> void;
+    auto reportSilence(const backends::Backend& backend, const BackendConnection& connection) -> void;
+
     /// Closes connections that have exceeded their idle limit, and those to removed servers.
     auto removeExpired() -> void;
 
@@ -67,7 +73,7 @@
         framework::Milliseconds idleTimeBeforeReset{0}; ///< of the last reset connection; 0 once the server accepts a new one
     };
 
-    framework::asio::any_io_executor m_executor;
+    ServerConnector& m_connector;
     const framework::IClock& m_clock;
     std::map<backends::Backend*, ServerPool> m_pools;
     framework::Milliseconds m_idleLimit{0};
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -72,7 +72,10 @@
     , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock)
     , m_storeWatcher(context.get_executor(), external.store, external.feed, m_store.directWay(), m_fleetState, external.rows, m_clock)
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
-    , m_connections(context.get_executor(), m_clock)
+    , m_directDialer(context.get_executor())
+    , m_connector(context.get_executor(), external.dialer != nullptr ? *external.dialer : m_directDialer, m_fleetState.backends(), m_clock,
+                  m_metrics, [this] { return m_link.serverRelays(); })
+    , m_connections(m_connector, m_clock)
     , m_backendClient(m_connections, external.wire, m_clock, m_settings.memoryBytes)
     , m_servingContext{.executor = context.get_executor(),
                        .clock = m_clock,
@@ -100,6 +103,7 @@
     m_shared.store = &m_store;
     m_shared.journal = &m_journal;
     m_shared.budgets = &m_budgets;
+    m_shared.connector = &m_connector;
     if (m_settings.metricsAddress) {
         m_metricsServer = std::make_unique<StatusServer>(context.get_executor(), peers::parseEndpoint(*m_settings.metricsAddress).value(),
                                                          [this](std::string_view path) { return statusResponse(path); });
@@ -170,6 +174,7 @@
         timer.expires_after(s_limitsPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         applyLimits();
+        m_connector.maintain();
         m_fleetState.backends().expire(m_clock.now());
         m_link.setReady(isReady());
         sinceMaintenance += s_limitsPeriod;
@@ -354,6 +359,7 @@
     }
     const auto document = framework::Json{{"host", m_settings.host},
                                           {"isReady", isReady()},
+                                          {"isCutOffFromServers", m_connector.isCutOff()},
                                           {"configuration", m_fleetState.routes() ? m_fleetState.routes()->version() : 0},
                                           {"servers", std::move(servers)},
                                           {"metrics", m_metrics.toJson()}};
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -21,6 +21,7 @@
     store::IChangeFeed& feed;
     const IRowDecoder& rows;
     const IWireCodec& wire;
+    IServerDialer* dialer = nullptr; ///< null: the host connects directly
 };
 
 /// An entry host: creates and connects all its components.
@@ -81,6 +82,8 @@
     scheduling::BackendChoice m_choice;
     scheduling::Admission m_admission;
     LatencyTracker m_latencies;
+    DirectDialer m_directDialer;
+    ServerConnector m_connector;
     BackendConnectionPool m_connections;
     BackendClient m_backendClient;
     ServingContext m_servingContext;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -189,6 +189,7 @@
     heartbeat.set_address(m_settings.peerAddress);
     heartbeat.set_is_ready(m_isReady);
     heartbeat.set_is_leaving(m_isLeaving);
+    heartbeat.set_lacks_servers(m_state.connector->isCutOff());
     heartbeat.set_reaches_store(m_state.store->directWay().isSound());
     heartbeat.set_configuration_version(m_state.fleetState.routes() ? m_state.fleetState.routes()->version() : 0);
     heartbeat.set_operator_version(m_state.fleetState.operatorTable().newestRowVersion());
@@ -355,26 +356,6 @@
     return ordered;
 }
 
-auto FleetLink::storeProxies() const -> std::vector<std::string>
-{
-    auto near = std::vector<std::string>();
-    auto far = std::vector<std::string>();
-    for (const auto* peer : reachablePeers()) {
-        if (peer->last.reaches_store() && !peer->last.is_leaving()) {
-            (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
-        }
-    }
-    // The lists are rotated so that the calls are spread over the hosts.
-    if (near.size() > 1) {
-        std::ranges::rotate(near, near.begin() + static_cast<std::ptrdiff_t>(m_sequence % near.size()));
-    }
-    if (far.size() > 1) {
-        std::ranges::rotate(far, far.begin() + static_cast<std::ptrdiff_t>(m_sequence % far.size()));
-    }
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
-}
-
 auto FleetLink::isAnyHostUnreachable() const -> bool
 {
     return !m_suspects.empty() || m_table.reachableFraction(m_clock.now()) < 1;
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -13,6 +13,7 @@
 #include "serving/fleetstate.h"
 #include "serving/hostsettings.h"
 #include "serving/quarantine.h"
+#include "serving/serverconnector.h"
 #include "serving/serverlimits.h"
 #include "store/routedstore.h"
 
@@ -35,6 +36,7 @@
     store::RoutedStore* store = nullptr;
     programs::TurnJournal* journal = nullptr;
     programs::BudgetLedger* budgets = nullptr;
+    ServerConnector* connector = nullptr;
 };
 
 /// Connects this host to its peers: sends and receives heartbeats, makes calls and answers those of others.
@@ -61,6 +63,8 @@
     auto home(std::string_view program) const -> std::string override;
     auto replicaHosts(std::string_view program) const -> std::vector<std::string> override;
     auto storeProxies() const -> std::vector<std::string> override;
+    /// Hosts that reach the backend servers by themselves. Hosts of this host's data centre come first.
+    auto serverRelays() const -> std::vector<std::string>;
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override;
     auto mayHaveLostGrants() const -> bool override;
@@ -76,6 +80,7 @@
 
     auto onHeartbeat(const peers::messages::Heartbeat& heartbeat) -> void override;
     auto onRequest(peers::messages::Request request) -> framework::Async<peers::messages::Response> override;
+    auto connectForPeer(peers::messages::RelayQuery query) -> framework::Async<peers::SocketPtr> override;
 
 private:
     enum class Table
@@ -90,6 +95,9 @@
     /// compute the same ranks.
     using Ranks = std::vector<std::pair<std::uint64_t, std::string_view>>;
     auto ranksOf(std::string_view key, bool isOwnDataCentre) const -> Ranks;
+    /// Addresses of the reachable hosts that pass `filter` and do not leave, of the own data centre first, rotated so that calls are spread
+    /// over them.
+    auto hostsToCall(const peers::PeerTable::Filter& filter) const -> std::vector<std::string>;
     auto heartbeatLoop() -> framework::Async<void>;
     auto makeHeartbeat() -> peers::messages::Heartbeat;
     auto addBackends(peers::messages::Heartbeat& heartbeat) const -> void;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-// Handling of requests from other hosts.
+// Which hosts to call, and the handling of requests from other hosts.
 
 namespace laburnummill::serving {
 
@@ -16,6 +16,46 @@
 
 } // namespace
 
+auto FleetLink::hostsToCall(const peers::PeerTable::Filter& filter) const -> std::vector<std::string>
+{
+    auto near = std::vector<std::string>();
+    auto far = std::vector<std::string>();
+    for (const auto* peer : reachablePeers()) {
+        if (filter(*peer) && !peer->last.is_leaving()) {
+            (peer->last.data_centre() == m_settings.dataCentre ? near : far).push_back(peer->address);
+        }
+    }
+    for (auto* hosts : {&near, &far}) {
+        if (hosts->size() > 1) {
+            std::ranges::rotate(*hosts, hosts->begin() + static_cast<std::ptrdiff_t>(m_sequence % hosts->size()));
+        }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+auto FleetLink::storeProxies() const -> std::vector<std::string>
+{
+    return hostsToCall([](const peers::Peer& peer) { return peer.last.reaches_store(); });
+}
+
+auto FleetLink::serverRelays() const -> std::vector<std::string>
+{
+    return hostsToCall([](const peers::Peer& peer) { return peer.last.is_ready() && !peer.last.lacks_servers(); });
+}
+
+auto FleetLink::connectForPeer(messages::RelayQuery query) -> Async<peers::SocketPtr>
+{
+    const auto& backends = m_state.fleetState.backends();
+    const auto backend = backends.find(query.server());
+    const auto endpoint = backend ? peers::parseEndpoint(backend->entry.address) : std::nullopt;
+    const auto isUsable = endpoint && backend->entry.startedAt == query.started_at() && !backend->leave->isLeaving() &&
+                          !backends.isDrained(backend->entry.dataCentre) && !m_state.connector->isCutOff();
+    const auto socket = isUsable ? co_await m_state.connector->connectForPeer(*endpoint) : nullptr;
+    m_metrics.count("connections_relayed_for_hosts", {{"outcome", !isUsable ? "refused" : socket ? "open" : "failed"}});
+    co_return socket;
+}
+
 auto FleetLink::onRequest(messages::Request request) -> Async<messages::Response>
 {
     auto response = messages::Response();
@@ -48,6 +88,7 @@
         const auto replicated = m_state.journal->replicaTokens({.account = query.account(), .program = query.program()});
         co_return co_await m_state.budgets->answer(query, replicated);
     }
+    case messages::Request::kRelayQuery: // Changes what the connection carries, so that the transport handles it.
     case messages::Request::BODY_NOT_SET:
         framework::logEvent(framework::LogLevel::Warning, "peers", "request_unknown");
         break;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -143,6 +143,9 @@
         entry["limitPerSecond"] = *result.metadata.limitPerSecond;
         m_context.metrics.count("answers_with_server_limit");
     }
+    if (result.isRelayed) {
+        entry["relayed"] = true;
+    }
     if (result.isTooLarge) {
         entry["tooLarge"] = true;
     }
--- /dev/null
+++ b/src/serving/serverconnector.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "backends/backendregistry.h"
+#include "backends/serverreach.h"
+#include "framework/global/cancellation.h"
+#include "framework/global/iclock.h"
+#include "framework/metrics/metrics.h"
+#include "peers/relay.h"
+
+#include <functional>
+#include <random>
+
+namespace laburnummill::serving {
+
+/// Opens TCP connections to backend servers.
+class IServerDialer
+{
+public:
+    virtual ~IServerDialer() = default;
+
+    /// Returns null if the connection fails, takes too long or is cancelled.
+    virtual auto dial(framework::asio::ip::tcp::endpoint server, framework::CancellationPtr cancellation)
+        -> framework::Async<peers::SocketPtr> = 0;
+};
+
+/// Connects from this host itself.
+class DirectDialer final : public IServerDialer
+{
+public:
+    explicit DirectDialer(framework::asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+    {}
+
+    auto dial(framework::asio::ip::tcp::endpoint server, framework::CancellationPtr cancellation)
+        -> framework::Async<peers::SocketPtr> override;
+
+private:
+    framework::asio::any_io_executor m_executor;
+};
+
+/// A new connection to a backend server.
+struct ServerSocket
+{
+    peers::SocketPtr socket; ///< null if the server cannot be reached
+    bool isRelayed = false;  ///< through another host
+};
+
+/// Connects to backend servers: directly, or through another host while this host is cut off from the servers.
+class ServerConnector
+{
+public:
+    /// `relays` returns the addresses of hosts that reach the servers, the preferred ones first.
+    ServerConnector(framework::asio::any_io_executor executor, IServerDialer& dialer, const backends::BackendRegistry& backends,
+                    const framework::IClock& clock, framework::Metrics& metrics, std::function<std::vector<std::string>()> relays);
+
+    auto connect(backends::BackendPtr backend, framework::CancellationPtr cancellation) -> framework::Async<ServerSocket>;
+
+    /// Connects directly on behalf of another host.
+    auto connectForPeer(framework::asio::ip::tcp::endpoint server) -> framework::Async<peers::SocketPtr>;
+
+    /// Reports that a direct connection to the server delivered nothing for an unusually long time.
+    auto reportSilence(const backends::Backend& backend) -> void;
+
+    /// Reports that an answer arrived on a direct connection.
+    auto reportAnswer() -> void { m_answeredAt = m_clock.now(); }
+
+    /// Whether direct connections that are idle now should be used. While a host is cut off they may be silent.
+    auto areIdleConnectionsUsable() const -> bool;
+
+    auto isCutOff() const -> bool { return m_reach.isCutOff(); }
+
+    /// Starts a probe if one is due.
+    auto maintain() -> void;
+
+private:
+    auto probe(int count) -> framework::Async<void>;
+    auto connectThroughPeer(const backends::Backend& backend, framework::CancellationPtr cancellation)
+        -> framework::Async<peers::SocketPtr>;
+
+    framework::asio::any_io_executor m_executor;
+    IServerDialer& m_dialer;
+    const backends::BackendRegistry& m_backends;
+    const framework::IClock& m_clock;
+    framework::Metrics& m_metrics;
+    std::function<std::vector<std::string>()> m_relays;
+    backends::ServerReach m_reach;
+    framework::Instant m_answeredAt{}; ///< last answer on a direct connection
+    std::minstd_rand m_random{std::random_device()()};
+};
+
+} // namespace laburnummill::serving
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -58,9 +58,11 @@
         settings.stopGrace = Milliseconds(6'000);
         running->metrics = std::make_unique<framework::Metrics>();
         running->store = std::make_unique<platform::HttpStore>(m_context.get_executor(), m_store.endpoint(), *running->metrics);
+        running->serverPath = std::make_unique<ServerPathStandIn>(m_context);
         running->host = std::make_unique<serving::EntryHost>(
             m_context, settings, *running->metrics,
-            serving::ExternalInterfaces{.store = *running->store, .feed = *running->store, .rows = m_rows, .wire = m_wire});
+            serving::ExternalInterfaces{
+                .store = *running->store, .feed = *running->store, .rows = m_rows, .wire = m_wire, .dialer = running->serverPath.get()});
         running->host->start();
         m_hosts.push_back(std::move(running));
     }
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -7,6 +7,7 @@
 #include "serving/entryhost.h"
 #include "standins/callerask.h"
 #include "standins/enginestandin.h"
+#include "standins/serverpathstandin.h"
 #include "standins/storestandin.h"
 
 #include <functional>
@@ -28,6 +29,8 @@
     auto store() -> StoreStandIn& { return m_store; }
     auto engine() -> EngineStandIn& { return m_engine; }
     auto context() -> asio::io_context& { return m_context; }
+    /// A host's network path to all servers.
+    auto serverPath(std::size_t host) -> ServerPathStandIn& { return *m_hosts[host]->serverPath; }
     auto host(std::size_t index) -> serving::EntryHost& { return *m_hosts[index]->host; }
 
     /// Runs everything until `condition`; false where it did not come true in ten seconds.
@@ -70,6 +73,7 @@
         serving::HostSettings settings;
         std::unique_ptr<framework::Metrics> metrics;
         std::unique_ptr<platform::HttpStore> store;
+        std::unique_ptr<ServerPathStandIn> serverPath;
         std::unique_ptr<serving::EntryHost> host;
     };
 
