A stopping host waits for the connections that it relays for other hosts

What callers of another host saw: a stream through a host that stops broke off at that host's end (a test: red without the wait, green with it). Cause: a host that stops waits for its own callers and turns only, and hosts that are cut off kept using connections through it. Change: the stop waits for relayed connections within its grace period; connections through a host that leaves are not used again. The log of a stop names them.

With it: a host that has a single server which does not leave no longer needs failures at two servers before it tries its path (the test above met that case: its second entry was draining).

--- a/src/backends/serverreach.cpp
+++ b/src/backends/serverreach.cpp
@@ -38,7 +38,7 @@
     m_hasSucceeded = false;
 }
 
-auto ServerReach::probesDue(std::size_t known, Instant now) const -> int
+auto ServerReach::probesDue(std::size_t usable, Instant now) const -> int
 {
     if (m_isProbing) {
         return 0;
@@ -46,7 +46,7 @@
     if (m_isCutOff) {
         return now >= m_probedAt + s_returnProbeInterval ? 1 : 0;
     }
-    const auto suspicious = std::min(s_suspiciousServers, std::max(static_cast<int>(known), 1));
+    const auto suspicious = std::min(s_suspiciousServers, std::max(static_cast<int>(usable), 1));
     return failedServers(now) >= suspicious && now >= m_probedAt + s_probeInterval ? s_probedServers : 0;
 }
 
--- a/src/backends/serverreach.h
+++ b/src/backends/serverreach.h
@@ -20,9 +20,9 @@
     /// A new connection to any server was established.
     auto recordSuccess() -> void;
 
-    /// Number of servers, of `known` ones, to which the host should try to connect now; 0 if there is no reason for a probe or one is in
+    /// Number of servers, of `usable` ones, to which the host should try to connect now; 0 if there is no reason for a probe or one is in
     /// progress.
-    auto probesDue(std::size_t known, framework::Instant now) const -> int;
+    auto probesDue(std::size_t usable, framework::Instant now) const -> int;
 
     auto beginProbe() -> void;
 
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -172,7 +172,7 @@
         co_return result;
     }
     target.remainingTime -= std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt);
-    result.isRelayed = connection->isRelayed;
+    result.isRelayed = !connection->relay.empty();
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
     result.sentAt = m_clock.now();
--- a/src/serving/backendconnectionpool.cpp
+++ b/src/serving/backendconnectionpool.cpp
@@ -113,7 +113,7 @@
         co_return nullptr;
     }
     const auto connection = std::make_shared<BackendConnection>(std::move(*connected.socket));
-    connection->isRelayed = connected.isRelayed;
+    connection->relay = std::move(connected.relay);
     const auto pool = m_pools.find(backend.get());
     if (pool != m_pools.end() && pool->second.idleTimeBeforeReset.count() > 0) {
         reduceIdleLimit(*backend, std::exchange(pool->second.idleTimeBeforeReset, {}));
@@ -132,21 +132,21 @@
 
 auto BackendConnectionPool::reportAnswer(const BackendConnection& connection) -> void
 {
-    if (!connection.isRelayed) {
+    if (connection.relay.empty()) {
         m_connector.reportAnswer();
     }
 }
 
 auto BackendConnectionPool::reportSilence(const backends::Backend& backend, const BackendConnection& connection) -> void
 {
-    if (!connection.isRelayed) {
+    if (connection.relay.empty()) {
         m_connector.reportSilence(backend);
     }
 }
 
 auto BackendConnectionPool::isReusable(BackendConnection& connection) const -> bool
 {
-    const auto isUsable = connection.isRelayed ? m_connector.isCutOff() : m_connector.areIdleConnectionsUsable();
+    const auto isUsable = connection.relay.empty() ? m_connector.areIdleConnectionsUsable() : m_connector.isRelayUsable(connection.relay);
     return isUsable && m_clock.now() < connection.idleSince + maxIdleTime(connection) && isIdle(connection.socket.native_handle());
 }
 
--- a/src/serving/backendconnectionpool.h
+++ b/src/serving/backendconnectionpool.h
@@ -26,7 +26,7 @@
     boost::beast::flat_buffer buffer;
     framework::Milliseconds idleTimeout{0}; ///< as stated by the server; 0 if it states none
     framework::Instant idleSince{};
-    bool isRelayed = false;              ///< through another host
+    std::string relay;                   ///< address of the host through which it leads; empty if it is direct
     int requests = 0;                    ///< number of requests sent on it
     framework::Milliseconds idleTime{0}; ///< how long it was idle before the current request
 };
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -259,7 +259,7 @@
     while (!m_shutdown.mustEnd(m_clock.now())) {
         const auto haveBalancersNoticed = m_shutdown.haveBalancersNoticed(m_clock.now());
         const auto areCallersClosed = haveBalancersNoticed && closeIdleCallers();
-        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0) {
+        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0) {
             break;
         }
         if (m_clock.now() >= nextLogAt) {
@@ -282,12 +282,16 @@
     if (!haveBalancersNoticed) {
         return "load_balancers";
     }
-    return areCallersClosed ? "unwritten_turns" : "connections";
+    if (!areCallersClosed) {
+        return "connections";
+    }
+    return m_journal.unwritten() > 0 ? "unwritten_turns" : "relayed_connections";
 }
 
 auto EntryHost::logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void
 {
     fields["openRequests"] = m_callerContext.openRequests;
+    fields["relayedConnections"] = m_link.relays();
     fields["unwrittenTurns"] = m_journal.unwritten();
     fields["requestsSinceSignal"] = m_callerContext.requestsSinceSignal;
     fields["tookMs"] = std::chrono::duration_cast<Milliseconds>(m_clock.now() - startedAt).count();
@@ -317,6 +321,7 @@
     m_metrics.setGauge("backend_connections_made", static_cast<double>(m_connections.createdCount()));
     m_metrics.setGauge("store_calls_relayed", static_cast<double>(m_store.relayedCalls()));
     m_metrics.setGauge("log_lines_dropped", static_cast<double>(framework::droppedLogLines()));
+    m_metrics.setGauge("relayed_connections_open", m_link.relays());
     m_metrics.setGauge("hosts", m_link.fleetSize());
 }
 
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -53,6 +53,9 @@
     auto fleetSize() const -> int { return m_table.fleetSize(); }
     auto setReady(bool isReady) -> void { m_isReady = isReady; }
 
+    /// Connections to backend servers that this host relays for others.
+    auto relays() const -> int { return m_port.relays(); }
+
     /// Whether this host reaches neither the store nor any host of another data centre, although other data centres have hosts.
     auto isIsolated() const -> bool;
 
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -91,7 +91,7 @@
     const auto now = m_context.clock.now();
     m_context.serverLimits.applyShares(m_service->name, servers, now);
     m_limitWait = std::nullopt;
-    const auto backend = m_context.choice.choose(servers, m_requirements, settings, now);
+    auto backend = m_context.choice.choose(servers, m_requirements, settings, now);
     if (backend) {
         m_context.choice.started(backend, m_requirements, settings, now);
     } else if (!servers.empty()) {
--- a/src/serving/serverconnector.cpp
+++ b/src/serving/serverconnector.cpp
@@ -64,7 +64,7 @@
         const auto socket = co_await m_dialer.dial(*endpoint, cancellation);
         if (socket) {
             m_reach.recordSuccess();
-            co_return ServerSocket{.socket = socket, .isRelayed = false};
+            co_return ServerSocket{.socket = socket, .relay = {}};
         }
         if (cancellation->cancelled()) {
             co_return ServerSocket();
@@ -75,7 +75,7 @@
     if (!m_reach.isCutOff()) {
         co_return ServerSocket();
     }
-    co_return ServerSocket{.socket = co_await connectThroughPeer(*backend, cancellation), .isRelayed = true};
+    co_return co_await connectThroughPeer(*backend, cancellation);
 }
 
 auto ServerConnector::connectForPeer(asio::ip::tcp::endpoint server) -> Async<SocketPtr>
@@ -83,7 +83,7 @@
     return m_dialer.dial(server, std::make_shared<framework::Cancellation>());
 }
 
-auto ServerConnector::connectThroughPeer(const Backend& backend, CancellationPtr cancellation) -> Async<SocketPtr>
+auto ServerConnector::connectThroughPeer(const Backend& backend, CancellationPtr cancellation) -> Async<ServerSocket>
 {
     auto query = peers::messages::RelayQuery();
     query.set_server(backend.entry.id);
@@ -98,10 +98,10 @@
         const auto socket = endpoint ? co_await peers::openRelay(m_executor, *endpoint, query, s_relayTimeout, cancellation) : nullptr;
         m_metrics.count("relayed_connections", {{"outcome", socket ? "open" : "failed"}});
         if (socket) {
-            co_return socket;
+            co_return ServerSocket{.socket = socket, .relay = address};
         }
     }
-    co_return nullptr;
+    co_return ServerSocket();
 }
 
 auto ServerConnector::reportSilence(const Backend& backend) -> void
@@ -115,9 +115,19 @@
     return !m_reach.isCutOff() || m_clock.now() < m_answeredAt + s_recentAnswer;
 }
 
+auto ServerConnector::isRelayUsable(const std::string& relay) const -> bool
+{
+    if (!m_reach.isCutOff()) {
+        return false;
+    }
+    const auto relays = m_relays();
+    return std::ranges::find(relays, relay) != relays.end();
+}
+
 auto ServerConnector::maintain() -> void
 {
-    const auto count = m_reach.probesDue(m_backends.all().size(), m_clock.now());
+    const auto usable = std::ranges::count_if(m_backends.all(), [](const auto& known) { return !known.second->leave->isLeaving(); });
+    const auto count = m_reach.probesDue(static_cast<std::size_t>(usable), m_clock.now());
     if (count > 0) {
         m_reach.beginProbe();
         asio::co_spawn(m_executor, probe(count), asio::detached);
--- a/src/serving/serverconnector.h
+++ b/src/serving/serverconnector.h
@@ -42,7 +42,7 @@
 struct ServerSocket
 {
     peers::SocketPtr socket; ///< null if the server cannot be reached
-    bool isRelayed = false;  ///< through another host
+    std::string relay;       ///< address of the host through which it leads; empty if it is direct
 };
 
 /// Connects to backend servers: directly, or through another host while this host is cut off from the servers.
@@ -67,6 +67,9 @@
     /// Whether direct connections that are idle now should be used. While a host is cut off they may be silent.
     auto areIdleConnectionsUsable() const -> bool;
 
+    /// Whether connections through the host at `relay` should be used: this host still needs them, and that host does not leave.
+    auto isRelayUsable(const std::string& relay) const -> bool;
+
     auto isCutOff() const -> bool { return m_reach.isCutOff(); }
 
     /// Starts a probe if one is due.
@@ -74,8 +77,7 @@
 
 private:
     auto probe(int count) -> framework::Async<void>;
-    auto connectThroughPeer(const backends::Backend& backend, framework::CancellationPtr cancellation)
-        -> framework::Async<peers::SocketPtr>;
+    auto connectThroughPeer(const backends::Backend& backend, framework::CancellationPtr cancellation) -> framework::Async<ServerSocket>;
 
     framework::asio::any_io_executor m_executor;
     IServerDialer& m_dialer;
