Whether another host can relay is looked up by its address

A host that is cut off asked, for each idle connection, whether its relay is still usable, and built the list of all reachable hosts for the answer: with 295 hosts some hundred lists a second (from reading).

Change: one look-up in the table of hosts; the relays are an interface of their own (IServerRelays). The probe of servers and the log of its result are functions of their own. EntryHostStranded 8 of 8 and EntryHostStop 5 of 5 green.

--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -104,6 +104,12 @@
     return found;
 }
 
+auto PeerTable::reachablePeer(std::string_view address, Instant now) const -> const Peer*
+{
+    const auto found = m_peers.find(address);
+    return found != m_peers.end() && isReachable(found->second, now) ? &found->second : nullptr;
+}
+
 auto PeerTable::reachableFraction(Instant now) const -> double
 {
     auto reachableHosts = 1;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -88,6 +88,9 @@
     /// Reachable hosts: those with a recent heartbeat, leaving hosts included.
     auto reachablePeers(framework::Instant now) const -> std::vector<const Peer*>;
 
+    /// The reachable host with this address; null if there is none.
+    auto reachablePeer(std::string_view address, framework::Instant now) const -> const Peer*;
+
     /// Fraction of reachable hosts among the hosts that may be serving, this host included; 0 to 1.
     auto reachableFraction(framework::Instant now) const -> double;
 
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -74,7 +74,7 @@
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
     , m_directDialer(context.get_executor())
     , m_connector(context.get_executor(), external.dialer != nullptr ? *external.dialer : m_directDialer, m_fleetState.backends(), m_clock,
-                  m_metrics, [this] { return m_link.serverRelays(); })
+                  m_metrics, m_link)
     , m_connections(m_connector, m_clock)
     , m_backendClient(m_connections, external.wire, m_clock, m_settings.memoryBytes)
     , m_servingContext{.executor = context.get_executor(),
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -40,7 +40,7 @@
 };
 
 /// Connects this host to its peers: sends and receives heartbeats, makes calls and answers those of others.
-class FleetLink final : public peers::IPeers, public peers::IPeerHandler
+class FleetLink final : public peers::IPeers, public peers::IPeerHandler, public IServerRelays
 {
 public:
     FleetLink(framework::asio::any_io_executor executor, const HostSettings& settings, std::uint64_t incarnation,
@@ -66,8 +66,8 @@
     auto home(std::string_view program) const -> std::string override;
     auto replicaHosts(std::string_view program) const -> std::vector<std::string> override;
     auto storeProxies() const -> std::vector<std::string> override;
-    /// Hosts that reach the backend servers by themselves. Hosts of this host's data centre come first.
-    auto serverRelays() const -> std::vector<std::string>;
+    auto serverRelays() const -> std::vector<std::string> override;
+    auto isServerRelay(std::string_view address) const -> bool override;
     auto isAnyHostUnreachable() const -> bool override;
     auto mayHaveUnknownTurns() const -> bool override;
     auto mayHaveLostGrants() const -> bool override;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -14,6 +14,11 @@
 using framework::Async;
 namespace messages = peers::messages;
 
+auto reachesServers(const peers::Peer& peer) -> bool
+{
+    return peer.last.is_ready() && !peer.last.lacks_servers();
+}
+
 } // namespace
 
 auto FleetLink::hostsToCall(const peers::PeerTable::Filter& filter) const -> std::vector<std::string>
@@ -41,7 +46,13 @@
 
 auto FleetLink::serverRelays() const -> std::vector<std::string>
 {
-    return hostsToCall([](const peers::Peer& peer) { return peer.last.is_ready() && !peer.last.lacks_servers(); });
+    return hostsToCall(reachesServers);
+}
+
+auto FleetLink::isServerRelay(std::string_view address) const -> bool
+{
+    const auto* peer = m_table.reachablePeer(address, m_clock.now());
+    return peer != nullptr && reachesServers(*peer) && !peer->last.is_leaving() && !m_suspects.contains(address);
 }
 
 auto FleetLink::connectForPeer(messages::RelayQuery query) -> Async<peers::SocketPtr>
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -1,6 +1,7 @@
-#include "peers/heartbeatschedule.h"
 #include "serving/requesthandler.h"
 
+#include "peers/heartbeatschedule.h"
+
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
--- a/src/serving/serverconnector.cpp
+++ b/src/serving/serverconnector.cpp
@@ -44,14 +44,13 @@
 }
 
 ServerConnector::ServerConnector(asio::any_io_executor executor, IServerDialer& dialer, const backends::BackendRegistry& backends,
-                                 const framework::IClock& clock, framework::Metrics& metrics,
-                                 std::function<std::vector<std::string>()> relays)
+                                 const framework::IClock& clock, framework::Metrics& metrics, const IServerRelays& relays)
     : m_executor(std::move(executor))
     , m_dialer(dialer)
     , m_backends(backends)
     , m_clock(clock)
     , m_metrics(metrics)
-    , m_relays(std::move(relays))
+    , m_relays(relays)
 {}
 
 auto ServerConnector::connect(BackendPtr backend, CancellationPtr cancellation) -> Async<ServerSocket>
@@ -88,7 +87,7 @@
     auto query = peers::messages::RelayQuery();
     query.set_server(backend.entry.id);
     query.set_started_at(backend.entry.startedAt);
-    auto addresses = m_relays();
+    auto addresses = m_relays.serverRelays();
     addresses.resize(std::min(addresses.size(), s_relayAttempts));
     for (const auto& address : addresses) {
         if (cancellation->cancelled()) {
@@ -117,11 +116,7 @@
 
 auto ServerConnector::isRelayUsable(const std::string& relay) const -> bool
 {
-    if (!m_reach.isCutOff()) {
-        return false;
-    }
-    const auto relays = m_relays();
-    return std::ranges::find(relays, relay) != relays.end();
+    return m_reach.isCutOff() && m_relays.isServerRelay(relay);
 }
 
 auto ServerConnector::maintain() -> void
@@ -134,7 +129,7 @@
     }
 }
 
-auto ServerConnector::probe(int count) -> Async<void>
+auto ServerConnector::serversToProbe(int count) -> std::vector<BackendPtr>
 {
     auto servers = std::vector<BackendPtr>();
     for (const auto& [id, backend] : m_backends.all()) {
@@ -143,6 +138,12 @@
     std::ranges::shuffle(servers, m_random);
     std::ranges::stable_partition(servers, [this](const auto& server) { return !m_reach.hasFailed(server->number, m_clock.now()); });
     servers.resize(std::min(servers.size(), static_cast<std::size_t>(count)));
+    return servers;
+}
+
+auto ServerConnector::probe(int count) -> Async<void>
+{
+    const auto servers = serversToProbe(count);
     const auto remaining = std::make_shared<std::size_t>(servers.size());
     const auto done = std::make_shared<asio::steady_timer>(m_executor, asio::steady_timer::time_point::max());
     for (const auto& server : servers) {
@@ -163,21 +164,27 @@
         auto ignored = boost::system::error_code();
         co_await done->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    const auto now = m_clock.now();
     const auto wasCutOff = m_reach.isCutOff();
-    const auto failed = m_reach.failedServers(now);
-    const auto since = m_reach.changedAt();
-    m_reach.endProbe(static_cast<int>(servers.size()), now);
+    const auto changedAt = m_reach.changedAt();
+    m_reach.endProbe(static_cast<int>(servers.size()), m_clock.now());
     if (m_reach.isCutOff() != wasCutOff) {
-        auto fields = framework::Json{{"probedServers", servers.size()}, {"failedServers", failed}, {"relays", m_relays().size()}};
-        if (wasCutOff) {
-            fields["tookMs"] = std::chrono::duration_cast<Milliseconds>(now - since).count();
-        } else {
-            fields["areIdleConnectionsUsable"] = areIdleConnectionsUsable();
-        }
-        m_metrics.setGauge("cut_off_from_servers", wasCutOff ? 0 : 1);
-        framework::logEvent(LogLevel::Warning, "serving", wasCutOff ? "servers_reachable" : "servers_unreachable", std::move(fields));
+        logChange(servers.size(), changedAt);
+    }
+}
+
+auto ServerConnector::logChange(std::size_t probedServers, framework::Instant previousChange) -> void
+{
+    const auto now = m_clock.now();
+    const auto isCutOff = m_reach.isCutOff();
+    auto fields = framework::Json{{"probedServers", probedServers}, {"failedServers", m_reach.failedServers(now)}};
+    if (isCutOff) {
+        fields["relays"] = m_relays.serverRelays().size();
+        fields["areIdleConnectionsUsable"] = areIdleConnectionsUsable();
+    } else {
+        fields["tookMs"] = std::chrono::duration_cast<Milliseconds>(now - previousChange).count();
     }
+    m_metrics.setGauge("cut_off_from_servers", isCutOff ? 1 : 0);
+    framework::logEvent(LogLevel::Warning, "serving", isCutOff ? "servers_unreachable" : "servers_reachable", std::move(fields));
 }
 
 } // namespace laburnummill::serving
--- a/src/serving/serverconnector.h
+++ b/src/serving/serverconnector.h
@@ -7,8 +7,10 @@
 #include "framework/metrics/metrics.h"
 #include "peers/relay.h"
 
-#include <functional>
 #include <random>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace laburnummill::serving {
 
@@ -45,13 +47,23 @@
     std::string relay;       ///< address of the host through which it leads; empty if it is direct
 };
 
+/// The hosts that reach the backend servers by themselves, as far as this host knows.
+class IServerRelays
+{
+public:
+    virtual ~IServerRelays() = default;
+
+    /// Addresses of these hosts, the preferred ones first.
+    virtual auto serverRelays() const -> std::vector<std::string> = 0;
+    virtual auto isServerRelay(std::string_view address) const -> bool = 0;
+};
+
 /// Connects to backend servers: directly, or through another host while this host is cut off from the servers.
 class ServerConnector
 {
 public:
-    /// `relays` returns the addresses of hosts that reach the servers, the preferred ones first.
     ServerConnector(framework::asio::any_io_executor executor, IServerDialer& dialer, const backends::BackendRegistry& backends,
-                    const framework::IClock& clock, framework::Metrics& metrics, std::function<std::vector<std::string>()> relays);
+                    const framework::IClock& clock, framework::Metrics& metrics, const IServerRelays& relays);
 
     auto connect(backends::BackendPtr backend, framework::CancellationPtr cancellation) -> framework::Async<ServerSocket>;
 
@@ -76,7 +88,10 @@
     auto maintain() -> void;
 
 private:
+    auto serversToProbe(int count) -> std::vector<backends::BackendPtr>;
     auto probe(int count) -> framework::Async<void>;
+    /// Logs that the host is cut off, or no longer since `previousChange`.
+    auto logChange(std::size_t probedServers, framework::Instant previousChange) -> void;
     auto connectThroughPeer(const backends::Backend& backend, framework::CancellationPtr cancellation) -> framework::Async<ServerSocket>;
 
     framework::asio::any_io_executor m_executor;
@@ -84,7 +99,7 @@
     const backends::BackendRegistry& m_backends;
     const framework::IClock& m_clock;
     framework::Metrics& m_metrics;
-    std::function<std::vector<std::string>()> m_relays;
+    const IServerRelays& m_relays;
     backends::ServerReach m_reach;
     framework::Instant m_answeredAt{}; ///< last answer on a direct connection
     std::minstd_rand m_random{std::random_device()()};
