Hosts ask engines for their load and place turns by the expected finish

Cause: of what servers state of their load only the queue length was decoded, and hosts placed by reports that are 0.2 to 1.5 s old.

Change: Server-Load is decoded whole (running, waiting, pace) and exchanged in heartbeats. Where the settings ask for admission of whole programs, or servers state their pace, an engine is chosen by ExpectedFinish (wait, uncached prompt, the delay that reading it causes to the batch), and unless it is surely free it is asked for its present load first, then up to three others. Chains of turns have preferences that are the same on all hosts. Elsewhere nothing changes.

--- a/src/backends/backendregistry.h
+++ b/src/backends/backendregistry.h
@@ -3,6 +3,7 @@
 #include "backends/backendhealth.h"
 #include "backends/serverleave.h"
 #include "backends/statedlimit.h"
+#include "backends/statedload.h"
 #include "framework/global/time.h"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     std::string service;
     std::string address; ///< IP:PORT
     std::string dataCentre;
+    std::string version;                          ///< of the server's software; empty if not reported
     int slots = 1;                                ///< requests that the server runs concurrently
     bool isDraining = false;                      ///< by this report; see ServerLeave for whether the server gets requests
     framework::Milliseconds remainingColdTime{0}; ///< time until the server's cold start ends
@@ -41,11 +43,13 @@
     std::uint64_t number = 0; ///< identifies this incarnation; never reused within the process
     bool isRemoved = false;
     framework::Instant coldUntil{};
-    int running = 0;         ///< requests of this host in progress
-    int runningRemotely = 0; ///< requests of other hosts in progress, as last reported by them
-    int idleConnections = 0; ///< idle connections of this host to the server
-    int reportedWaiting = 0; ///< queue length from the server's last response
+    int running = 0;                   ///< requests of this host in progress
+    int runningRemotely = 0;           ///< requests of other hosts in progress, as last reported by them
+    double averageRunningRemotely = 0; ///< the same, averaged over about a second
+    int idleConnections = 0;           ///< idle connections of this host to the server
+    int reportedWaiting = 0;           ///< queue length from the server's last response
     framework::Instant reportedAt{};
+    StatedLoad load;
     BackendHealth health;
     std::shared_ptr<ServerLeave> leave = std::make_shared<ServerLeave>(); ///< kept if the entry lapses and returns
     std::shared_ptr<StatedLimit> limit = std::make_shared<StatedLimit>(); ///< as above
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -35,6 +35,8 @@
 /// host is assumed to be down.
 constexpr auto s_unaccountedFor = std::chrono::minutes(10);
 
+constexpr auto s_percent = 100.0;
+
 /// Higher limits are reported as this one, in requests per second.
 constexpr auto s_maxReportedRate = 1e6;
 
@@ -287,6 +289,28 @@
     return found;
 }
 
+auto PeerTable::statedLoads(Instant now) const -> std::map<std::uint32_t, ReportedLoad>
+{
+    auto found = std::map<std::uint32_t, ReportedLoad>();
+    for (const auto* peer : reachablePeers(now)) {
+        for (const auto& stated : peer->last.stated_loads()) {
+            const auto statedAt = peer->lastHeartbeatAt - Milliseconds(stated.age_ms());
+            auto& latest = found[stated.backend()];
+            if (statedAt <= latest.statedAt) {
+                continue;
+            }
+            latest = {.load = {.running = static_cast<int>(stated.running()),
+                               .waiting = static_cast<int>(stated.waiting()),
+                               .pace = std::nullopt},
+                      .statedAt = statedAt};
+            if (stated.pace_percent() > 0) {
+                latest.load.pace = stated.pace_percent() / s_percent;
+            }
+        }
+    }
+    return found;
+}
+
 auto PeerTable::demandsFor(std::uint32_t service, Instant now) const -> std::vector<RemoteDemand>
 {
     auto found = std::vector<RemoteDemand>();
@@ -317,6 +341,20 @@
     }
 }
 
+auto addStatedLoads(messages::Heartbeat& heartbeat, std::vector<LoadReport> loads) -> void
+{
+    std::ranges::sort(loads, {}, &LoadReport::age);
+    loads.resize(std::min(loads.size(), s_maxStatedLoads));
+    for (const auto& report : loads) {
+        auto* stated = heartbeat.add_stated_loads();
+        stated->set_backend(report.backend);
+        stated->set_running(static_cast<std::uint32_t>(report.load.running));
+        stated->set_waiting(static_cast<std::uint32_t>(report.load.waiting));
+        stated->set_pace_percent(static_cast<std::uint32_t>(report.load.pace.value_or(0) * s_percent));
+        stated->set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(report.age.count(), 0)));
+    }
+}
+
 auto incarnationHash(std::string_view id, std::int64_t startedAt) -> std::uint64_t
 {
     return framework::hash64(id, static_cast<std::uint64_t>(startedAt));
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/statedload.h"
 #include "framework/global/time.h"
 #include "peers/fleetmessages.pb.h"
 
@@ -58,6 +59,13 @@
     framework::Instant statedAt{}; ///< when the other host received the answer, at the latest
 };
 
+/// The load that a backend server has stated to another host.
+struct ReportedLoad
+{
+    backends::LoadStatement load;
+    framework::Instant statedAt{}; ///< when the other host received the answer, at the latest
+};
+
 /// Recent requests of another host for a service.
 struct RemoteDemand
 {
@@ -145,6 +153,9 @@
     /// The latest limit of each backend server that reachable hosts report, by incarnationHash().
     auto reportedLimits(framework::Instant now) const -> std::map<std::uint64_t, ReportedLimit>;
 
+    /// The latest load statement of each backend server that reachable hosts report, by backendHash().
+    auto statedLoads(framework::Instant now) const -> std::map<std::uint32_t, ReportedLoad>;
+
     /// The other hosts that may send requests to the servers of the service with this backendHash(): the known ones, except those
     /// that have left.
     auto demandsFor(std::uint32_t service, framework::Instant now) const -> std::vector<RemoteDemand>;
@@ -188,4 +199,18 @@
 /// Adds up to s_maxLimitedBackends of `limits` to the heartbeat; the first one depends on the heartbeat's sequence.
 auto addLimitedBackends(messages::Heartbeat& heartbeat, const std::vector<LimitReport>& limits) -> void;
 
+/// A backend server's load statement to be reported.
+struct LoadReport
+{
+    std::uint32_t backend = 0; ///< backendHash() of the server
+    backends::LoadStatement load;
+    framework::Milliseconds age{0}; ///< since the answer that stated it arrived
+};
+
+/// Maximum number of load statements in one heartbeat, some 20 bytes each.
+inline constexpr auto s_maxStatedLoads = std::size_t{16};
+
+/// Adds the newest of `loads` to the heartbeat, up to s_maxStatedLoads.
+auto addStatedLoads(messages::Heartbeat& heartbeat, std::vector<LoadReport> loads) -> void;
+
 } // namespace laburnummill::peers
--- a/src/scheduling/backendchoice.cpp
+++ b/src/scheduling/backendchoice.cpp
@@ -1,5 +1,8 @@
 #include "scheduling/backendchoice.h"
 
+#include "framework/global/digest.h"
+#include "scheduling/expectedfinish.h"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -58,11 +61,20 @@
 
 constexpr auto s_bisectionSteps = 20;
 
+/// Most servers that are asked for their load before a request is placed.
+constexpr auto s_maxProbedServers = std::size_t{4};
+
+/// A server is taken to have a free slot if this many standard deviations more requests would leave one.
+constexpr auto s_certainDeviations = 2.5;
+
+constexpr auto s_hashRange = 18'446'744'073'709'551'616.0; // 2^64
+
 /// Costs closer than this, in milliseconds, are equal.
 constexpr auto s_equalCost = 1.0;
 
-/// Number of prompt parts tracked for each engine; deployed engines cache fewer.
-constexpr auto s_maxTrackedParts = std::size_t{1'000};
+/// Range of the preferences of chains of turns for servers. Hosts with the same knowledge spread new chains over the servers whose cost
+/// is within it, and all hosts prefer the same server for one chain.
+constexpr auto s_chainPreferenceMs = 60.0;
 
 /// Cost of a further request at a server with `inFlight` in progress, in milliseconds.
 auto queueCost(const ServerLoad& load, double inFlight) -> double
@@ -72,31 +84,14 @@
                                            s_perRunningRequestMilliseconds * std::min(inFlight, load.slots - 1));
 }
 
-} // namespace
-
-auto PromptCacheTracker::recordPrompt(std::uint64_t engine, const std::vector<PromptPart>& prompt) -> void
+/// Cost of the way to a server, in milliseconds.
+auto extraLatency(const Backend& server, const ChoiceSettings& settings) -> double
 {
-    auto& cache = m_engines[engine];
-    for (const auto& promptPart : prompt) {
-        cache.parts[promptPart.part] = ++cache.uses;
-    }
-    if (cache.parts.size() > s_maxTrackedParts) {
-        const auto oldest = cache.uses - s_maxTrackedParts / 2;
-        std::erase_if(cache.parts, [oldest](const auto& part) { return part.second < oldest; });
-    }
+    return (server.entry.dataCentre == settings.ownDataCentre ? 0 : s_otherDataCentreMilliseconds) +
+           (server.idleConnections > 0 ? 0 : s_newConnectionMilliseconds);
 }
 
-auto PromptCacheTracker::missingTokens(std::uint64_t engine, const std::vector<PromptPart>& prompt) const -> int
-{
-    const auto cache = m_engines.find(engine);
-    auto tokens = 0;
-    auto isHeld = cache != m_engines.end();
-    for (const auto& promptPart : prompt) {
-        isHeld = isHeld && cache->second.parts.contains(promptPart.part);
-        tokens += isHeld ? 0 : promptPart.tokens;
-    }
-    return tokens;
-}
+} // namespace
 
 auto ColdStartLimiter::hasToken(std::uint64_t server, double perSecond, int hosts, Instant now) -> bool
 {
@@ -201,12 +196,15 @@
         const auto limit = server->limit->current(now);
         const auto load = ServerLoad{.inFlight = server->running + server->runningRemotely * stillRunning,
                                      .slots = static_cast<double>(std::max(server->entry.slots, 1)),
-                                     .slowness = std::max(server->health.slowness(), s_minSlowness),
+                                     .slowness = std::max(server->health.slowness(), s_minSlowness) * server->load.pace(now),
                                      .penalty = penalty,
                                      .maxStarts = limit ? limit->perSecond * age / 1'000 : std::numeric_limits<double>::max()};
         found.push_back({.server = server, .load = load, .unreported = 0, .cost = 0});
         total += server->runningRemotely * (1 - stillRunning);
     }
+    if (settings.rule == PlacementRule::ExpectedFinish) {
+        return found;
+    }
     auto loads = std::vector<ServerLoad>();
     std::ranges::transform(found, std::back_inserter(loads), &Candidate::load);
     const auto unreported = UnreportedStarts(loads, std::max(total, (settings.hosts - 1) * m_recentStarts.count(now) * s_reportAge));
@@ -229,6 +227,10 @@
     if (found.empty()) {
         return nullptr;
     }
+    if (settings.rule == PlacementRule::ExpectedFinish) {
+        estimateFinish(found, requirements, settings, now);
+        return std::ranges::min(found, {}, &Candidate::cost).server;
+    }
     const auto best = std::ranges::min(found, {}, &Candidate::cost).cost;
     std::erase_if(found, [best](const Candidate& candidate) { return candidate.cost > best + s_equalCost; });
     auto room = 0.0;
@@ -286,19 +288,74 @@
     }
 }
 
+auto BackendChoice::uncachedTokens(const Backend& server, const BackendRequirements& requirements, std::size_t commonParts) const -> int
+{
+    const auto missing = m_promptCaches.missingTokens(server.number, requirements.prompt, commonParts);
+    if (requirements.lastBackend.empty() || server.entry.id != requirements.lastBackend) {
+        return missing;
+    }
+    // This engine ran the previous turn, so it has cached all parts except the newest, even if another host sent that turn.
+    return std::min(missing, requirements.prompt.empty() ? 0 : requirements.prompt.back().tokens);
+}
+
+auto BackendChoice::estimateFinish(std::vector<Candidate>& candidates, const BackendRequirements& requirements,
+                                   const ChoiceSettings& settings, Instant now) const -> void
+{
+    const auto chain = framework::hash64(requirements.chain);
+    const auto commonParts = m_promptCaches.commonParts(requirements.prompt);
+    auto remote = RemoteLoad{.average = 0, .reportWeight = reportWeight(settings.reportInterval)};
+    for (const auto& candidate : candidates) {
+        remote.average += candidate.server->averageRunningRemotely / static_cast<double>(candidates.size());
+    }
+    auto average = 0.0;
+    for (auto& candidate : candidates) {
+        const auto& server = *candidate.server;
+        const auto load = expectedLoad(server, remote, candidate.load.slots, candidate.load.penalty, now);
+        const auto prefillMs = uncachedTokens(server, requirements, commonParts) / s_prefillTokensPerMillisecond;
+        const auto preference = static_cast<double>(framework::hash64(server.entry.id, chain)) / s_hashRange;
+        average += load.requests / static_cast<double>(candidates.size());
+        candidate.freeSlots = load.slots - load.requests - 1 - s_certainDeviations * load.deviation;
+        candidate.cost = expectedFinish(load, {.serviceMs = settings.serviceMs, .prefillMs = prefillMs}) + extraLatency(server, settings) +
+                         s_chainPreferenceMs * preference;
+    }
+    for (auto& candidate : candidates) {
+        // Of many uncertain figures the lowest is mostly too low.
+        const auto deviation = s_certainDeviations * std::sqrt(average);
+        candidate.freeSlots = std::min(candidate.freeSlots, candidate.load.slots - average - 1 - deviation);
+    }
+}
+
+auto BackendChoice::serversToProbe(const std::vector<BackendPtr>& servers, const std::vector<BackendPtr>& probed,
+                                   const BackendRequirements& requirements, const ChoiceSettings& settings, Instant now)
+    -> std::vector<BackendPtr>
+{
+    const auto hasFreeSlot = [now](const BackendPtr& server) {
+        const auto statement = server->load.latest(now);
+        return statement && statement->load.running + statement->load.waiting < server->entry.slots;
+    };
+    if (probed.size() >= s_maxProbedServers || std::ranges::any_of(probed, hasFreeSlot)) {
+        return {};
+    }
+    auto found = candidates(servers, requirements, settings, now);
+    std::erase_if(found, [&probed](const Candidate& candidate) { return std::ranges::find(probed, candidate.server) != probed.end(); });
+    estimateFinish(found, requirements, settings, now);
+    const auto count = std::min(found.size(), probed.empty() ? 1 : s_maxProbedServers - probed.size());
+    std::ranges::partial_sort(found, found.begin() + static_cast<std::ptrdiff_t>(count), {}, &Candidate::cost);
+    if (found.empty() || (probed.empty() && found.front().freeSlots >= 0)) {
+        return {};
+    }
+    auto next = std::vector<BackendPtr>();
+    std::transform(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count), std::back_inserter(next),
+                   [](const Candidate& candidate) { return candidate.server; });
+    return next;
+}
+
 auto BackendChoice::cost(const Backend& server, const ServerLoad& load, const BackendRequirements& requirements,
                          const ChoiceSettings& settings) const -> double
 {
     auto total = queueCost(load, load.inFlight);
-    auto uncachedTokens = m_promptCaches.missingTokens(server.number, requirements.prompt);
-    if (!requirements.lastBackend.empty() && server.entry.id == requirements.lastBackend) {
-        // This engine ran the previous turn, so it has cached all parts except the newest, even if another host sent that turn.
-        uncachedTokens = std::min(uncachedTokens, requirements.prompt.empty() ? 0 : requirements.prompt.back().tokens);
-    }
-    total += load.slowness * uncachedTokens / s_prefillTokensPerMillisecond;
-    total += server.entry.dataCentre == settings.ownDataCentre ? 0 : s_otherDataCentreMilliseconds;
-    total += server.idleConnections > 0 ? 0 : s_newConnectionMilliseconds;
-    return total;
+    total += load.slowness * uncachedTokens(server, requirements, 0) / s_prefillTokensPerMillisecond;
+    return total + extraLatency(server, settings);
 }
 
 } // namespace laburnummill::scheduling
--- a/src/scheduling/backendchoice.h
+++ b/src/scheduling/backendchoice.h
@@ -2,6 +2,7 @@
 
 #include "backends/backendregistry.h"
 #include "scheduling/limitbuckets.h"
+#include "scheduling/promptcachetracker.h"
 
 #include <algorithm>
 #include <limits>
@@ -14,41 +15,13 @@
 
 namespace laburnummill::scheduling {
 
-/// One part of a prompt. Prompts list their parts in the order in which the engine processes them.
-struct PromptPart
-{
-    std::string part;
-    int tokens = 0;
-};
-
 /// Properties of one request that affect the choice of a backend server.
 struct BackendRequirements
 {
     std::vector<PromptPart> prompt; ///< empty for plain services
     std::string lastBackend;        ///< id of the engine that ran the previous turn; empty if there is none
     std::set<std::uint64_t> tried;  ///< numbers of the servers to which this request was already sent
-};
-
-/// Tracks which prompt parts each engine probably has in its cache, based on the requests of this host.
-class PromptCacheTracker
-{
-public:
-    /// Records that `engine` processes `prompt`.
-    auto recordPrompt(std::uint64_t engine, const std::vector<PromptPart>& prompt) -> void;
-
-    /// Number of prompt tokens that the engine has to process: all tokens from the first uncached part on.
-    auto missingTokens(std::uint64_t engine, const std::vector<PromptPart>& prompt) const -> int;
-
-    auto remove(std::uint64_t engine) -> void { m_engines.erase(engine); }
-
-private:
-    struct Engine
-    {
-        std::unordered_map<std::string, std::uint64_t> parts; ///< part to the sequence number of its last use
-        std::uint64_t uses = 0;
-    };
-
-    std::unordered_map<std::uint64_t, Engine> m_engines;
+    std::string chain;              ///< id of the chain of turns, or of the request itself; the same on all hosts
 };
 
 /// Limits the rate of this host's requests to a cold backend server to an equal share of the server's capacity.
@@ -115,6 +88,13 @@
     double m_cost = 0; ///< of the servers that get some
 };
 
+/// How a server is chosen among those that may be used.
+enum class PlacementRule
+{
+    EqualCost,      ///< as if the other hosts filled the cheapest servers since their reports
+    ExpectedFinish, ///< by the time at which the request is expected to end and the delay that it causes to others
+};
+
 /// Parameters of the choice that do not depend on the request.
 struct ChoiceSettings
 {
@@ -122,6 +102,8 @@
     double coldRequestsPerSecond = 0; ///< limit of the service for each cold server; 0 means no limit
     int hosts = 1;
     framework::Milliseconds reportInterval{200}; ///< at which hosts report their running requests to each other
+    PlacementRule rule = PlacementRule::EqualCost;
+    double serviceMs = 200; ///< usual time for which a request occupies a slot
 };
 
 /// Whether there is an untried server that is not avoided and has no overdue requests of any host. Such a server can handle the
@@ -148,6 +130,13 @@
     auto choose(const std::vector<backends::BackendPtr>& servers, const BackendRequirements& requirements, const ChoiceSettings& settings,
                 framework::Instant now) -> backends::BackendPtr;
 
+    /// The servers that should be asked for their present load before the request is placed: at first the best one by present knowledge;
+    /// if none of `probed`, those that were asked before, has a free slot, the best others. Empty if enough is known. Only for
+    /// PlacementRule::ExpectedFinish.
+    auto serversToProbe(const std::vector<backends::BackendPtr>& servers, const std::vector<backends::BackendPtr>& probed,
+                        const BackendRequirements& requirements, const ChoiceSettings& settings, framework::Instant now)
+        -> std::vector<backends::BackendPtr>;
+
     /// Time after which this host's share of the servers' limits allows one more request after `waiting` others; the largest value if
     /// it has no share. Returns nullopt if an untried server has no limit.
     auto limitWait(const std::vector<backends::BackendPtr>& servers, const BackendRequirements& requirements, int waiting,
@@ -163,6 +152,7 @@
         backends::BackendPtr server;
         ServerLoad load;
         double unreported = 0; ///< starts of other hosts that are expected there
+        double freeSlots = 0;  ///< that remain if it gets one more request, less the uncertainty of what is known
         double cost = 0;
     };
 
@@ -170,6 +160,10 @@
                     const ChoiceSettings& settings, framework::Instant now) -> std::vector<Candidate>;
     auto cost(const backends::Backend& server, const ServerLoad& load, const BackendRequirements& requirements,
               const ChoiceSettings& settings) const -> double;
+    auto uncachedTokens(const backends::Backend& server, const BackendRequirements& requirements, std::size_t commonParts) const -> int;
+    /// Sets the cost of each candidate to the time until the request is expected to end there.
+    auto estimateFinish(std::vector<Candidate>& candidates, const BackendRequirements& requirements, const ChoiceSettings& settings,
+                        framework::Instant now) const -> void;
 
     PromptCacheTracker m_promptCaches;
     ColdStartLimiter m_coldStartLimiter;
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -32,6 +32,9 @@
 /// If nothing arrives for this long after a request was sent, the network path may be broken.
 constexpr auto s_silence = Milliseconds(500);
 
+/// Exceeds the body of any answer to a health probe.
+constexpr auto s_probeBodyLimit = std::uint64_t{64 * 1024};
+
 constexpr auto s_chunkBytes = std::size_t{16 * 1024};
 
 using Parser = http::response_parser<http::buffer_body>;
@@ -56,14 +59,16 @@
 }
 
 /// Records what the header of a server's answer states about the server itself.
-auto recordStatements(const backends::Backend& backend, const ReplyMetadata& metadata, framework::Instant sentAt, framework::Instant now)
-    -> void
+auto recordStatements(backends::Backend& backend, const ReplyMetadata& metadata, framework::Instant sentAt, framework::Instant now) -> void
 {
     if (metadata.isServerLeaving) {
         const auto wasLeaving = backend.leave->isLeaving();
         backend.leave->recordAnswer(now);
         logLeaveChange(backend, wasLeaving, now);
     }
+    if (metadata.load) {
+        backend.load.recordAnswer(*metadata.load, now);
+    }
     const auto limit = backend.limit->current(now);
     backend.limit->recordAnswer(metadata.limitPerSecond, sentAt, now);
     logLimitChange(backend, limit, now);
@@ -196,6 +201,50 @@
     co_return result;
 }
 
+auto BackendClient::probe(const backends::BackendPtr& backend, const std::string& healthPath, CancellationPtr cancellation) -> Async<bool>
+{
+    const auto connection = co_await m_connections.acquire(backend, cancellation);
+    if (!connection || !connection->socket.is_open()) {
+        co_return false;
+    }
+    const auto weak = std::weak_ptr(connection);
+    cancellation->onCancel([weak] {
+        if (const auto found = weak.lock()) {
+            auto ignored = boost::system::error_code();
+            found->socket.close(ignored);
+        }
+    });
+    auto request = CallerRequest();
+    request.method = "GET";
+    request.target = healthPath;
+    ++connection->requests;
+    const auto target = BackendTarget{.instance = backend->entry.id, .account = {}, .remainingTime = s_silence};
+    auto parser = Parser();
+    parser.header_limit(s_headLimit);
+    parser.body_limit(s_probeBodyLimit);
+    auto error = boost::system::error_code();
+    const auto isSent = co_await send(*connection, request, target);
+    if (isSent) {
+        co_await http::async_read_header(connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    const auto ignore = [](std::string_view) -> Async<bool> { co_return true; };
+    auto isTooLarge = false;
+    if (!isSent || error || !co_await readBody(*connection, parser, isTooLarge, ignore)) {
+        co_return false;
+    }
+    m_connections.reportAnswer(*connection);
+    const auto metadata = m_wire.decodeReply(parser.get().base());
+    const auto isFromServer = metadata.instance == backend->entry.id;
+    if (isFromServer && metadata.load) {
+        backend->load.recordAnswer(*metadata.load, m_clock.now());
+    }
+    connection->idleTimeout = metadata.idleTimeout.value_or(Milliseconds(0));
+    if (isFromServer && parser.keep_alive() && !parser.need_eof()) {
+        m_connections.release(backend, connection);
+    }
+    co_return isFromServer;
+}
+
 auto BackendClient::send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> Async<bool>
 {
     const auto head = formatHead(m_wire.encodeRequest(request, target), request.body.size());
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -74,6 +74,11 @@
     auto attempt(const backends::BackendPtr& backend, const CallerRequest& request, BackendTarget target, IStreamHandler* streamHandler,
                  framework::CancellationPtr cancellation) -> framework::Async<AttemptResult>;
 
+    /// Asks a server for its present load and records what it states. Returns false if there was no answer of this server before
+    /// `cancellation`.
+    auto probe(const backends::BackendPtr& backend, const std::string& healthPath, framework::CancellationPtr cancellation)
+        -> framework::Async<bool>;
+
 private:
     auto send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> framework::Async<bool>;
     auto receive(BackendConnection& connection, const backends::BackendPtr& backend, const CallerRequest& request,
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -77,6 +77,7 @@
                   m_metrics, m_link)
     , m_connections(m_connector, m_clock)
     , m_backendClient(m_connections, external.wire, m_clock, m_settings.memoryBytes)
+    , m_loadProbes(context.get_executor(), m_backendClient, m_clock, m_metrics)
     , m_servingContext{.executor = context.get_executor(),
                        .clock = m_clock,
                        .metrics = m_metrics,
@@ -87,13 +88,15 @@
                        .choice = m_choice,
                        .serverLimits = m_serverLimits,
                        .backendClient = m_backendClient,
+                       .loadProbes = m_loadProbes,
                        .latencies = m_latencies,
                        .quarantine = m_quarantine,
                        .shutdown = m_shutdown,
                        .dataCentre = m_settings.dataCentre,
                        .admission = m_admission,
                        .fleetSize = [this] { return m_link.fleetSize(); },
-                       .isIsolated = [this] { return m_link.isIsolated(); }}
+                       .isIsolated = [this] { return m_link.isIsolated(); },
+                       .overloadControl = m_settings.overloadControl}
     , m_callerContext{.servingContext = m_servingContext, .wire = external.wire}
     , m_acceptor(context, peers::parseEndpoint(m_settings.callerAddress).value())
     , m_readinessServer(context.get_executor(), peers::parseEndpoint(m_settings.readyAddress).value(), [this](std::string_view) {
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -86,6 +86,7 @@
     ServerConnector m_connector;
     BackendConnectionPool m_connections;
     BackendClient m_backendClient;
+    LoadProbes m_loadProbes;
     ServingContext m_servingContext;
     CallerContext m_callerContext;
     framework::asio::ip::tcp::acceptor m_acceptor;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace laburnummill::serving {
@@ -49,6 +50,10 @@
 constexpr auto s_addressesPerHeartbeat = std::size_t{8};
 constexpr auto s_heartbeatsPerAddressList = std::uint64_t{5};
 
+/// Time over which the running requests of other hosts are averaged. Programs return to the engine that has cached their prompts, so that
+/// the average tells more than a snapshot of requests that end within some tenths of a second.
+constexpr auto s_averageTime = Milliseconds(800);
+
 /// Smaller failure shares are not reported. One failure adds 0.1 to a host's share and counts for about 5 s.
 constexpr auto s_minReportedFailureShare = 0.02;
 
@@ -202,6 +207,7 @@
         use->set_newly(admission.newly);
     }
     addBackends(heartbeat);
+    addStatedLoads(heartbeat);
     for (const auto& crash : m_state.quarantine.localCrashes(m_clock.now())) {
         auto* reported = heartbeat.add_crashes();
         reported->set_fingerprint(crash.fingerprint);
@@ -216,15 +222,38 @@
     return heartbeat;
 }
 
+auto FleetLink::addStatedLoads(messages::Heartbeat& heartbeat) const -> void
+{
+    const auto now = m_clock.now();
+    auto loads = std::vector<peers::LoadReport>();
+    for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
+        const auto stated = backend->load.toReport(now);
+        if (stated && (stated->load.pace || m_settings.overloadControl == OverloadControl::ByPrograms)) {
+            loads.push_back({.backend = peers::backendHash(id),
+                             .load = stated->load,
+                             .age = std::chrono::duration_cast<Milliseconds>(now - stated->statedAt)});
+        }
+    }
+    peers::addStatedLoads(heartbeat, std::move(loads));
+}
+
 auto FleetLink::refreshBackends() -> void
 {
     const auto now = m_clock.now();
     const auto reported = m_table.remoteBackendLoads(now);
+    const auto stated = m_table.statedLoads(now);
+    const auto sinceRefresh = std::chrono::duration<double>(now - m_backendsRefreshedAt) / std::chrono::duration<double>(s_averageTime);
+    const auto weight = 1 - std::exp(-sinceRefresh);
+    m_backendsRefreshedAt = now;
     const auto leaving = m_table.leavingBackends(now);
     for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
         const auto found = reported.find(peers::backendHash(id));
         const auto remote = found == reported.end() ? peers::RemoteBackendLoad() : found->second;
         backend->runningRemotely = remote.running;
+        backend->averageRunningRemotely += weight * (remote.running - backend->averageRunningRemotely);
+        if (const auto load = stated.find(peers::backendHash(id)); load != stated.end()) {
+            backend->load.recordPeer(load->second.load, load->second.statedAt);
+        }
         if (leaving.contains(peers::incarnationHash(id, backend->entry.startedAt))) {
             const auto wasLeaving = backend->leave->isLeaving();
             backend->leave->recordPeer(now);
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -106,7 +106,9 @@
     auto addBackends(peers::messages::Heartbeat& heartbeat) const -> void;
     auto sendToAll() -> void;
     auto forward(peers::messages::Heartbeat heartbeat) -> void;
+    /// Takes the latest reports of the other hosts on the backend servers.
     auto refreshBackends() -> void;
+    auto addStatedLoads(peers::messages::Heartbeat& heartbeat) const -> void;
     auto recordStoreImpairment() -> void;
     auto fetchChanges(std::string address, Table table, bool isAuthoritative) -> framework::Async<void>;
     auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
@@ -126,6 +128,7 @@
     std::uint64_t m_sequence = 0;
     /// Time of the last failed call, by address, of hosts from which no heartbeat has been received since.
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
+    framework::Instant m_backendsRefreshedAt{};
     framework::Instant m_storeImpairedAt{};
     framework::Instant m_storeOutageSince{}; ///< last time at which the direct way to the store worked
     bool m_isReady = false;
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/nametable.h"
 #include "framework/global/time.h"
 
 #include <cstdint>
@@ -9,6 +10,18 @@
 
 namespace laburnummill::serving {
 
+/// How hosts decide which work to accept when the backend servers cannot do all of it.
+enum class OverloadControl
+{
+    ByServers,  ///< by the share of the servers' slots that is in use
+    ByPrograms, ///< whole programs, by the measured stretch of their turns and by the client accounts' fair shares
+};
+
+inline constexpr auto s_overloadControlNames = framework::NameTable<OverloadControl, 2>{{
+    {OverloadControl::ByServers, "by_servers"},
+    {OverloadControl::ByPrograms, "by_programs"},
+}};
+
 /// Settings of an entry host.
 struct HostSettings
 {
@@ -21,7 +34,8 @@
     std::optional<std::string> peerListen;     ///< IP:PORT to listen on for other hosts, if not `peerAddress`
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
-    bool isFirstStart = false;                 ///< first start of the whole system: no requests were served before
+    OverloadControl overloadControl = OverloadControl::ByServers;
+    bool isFirstStart = false; ///< first start of the whole system: no requests were served before
     std::uint64_t memoryBytes = 0;
     framework::Milliseconds stopGrace{8'000}; ///< time between the stop signal and the kill of the process
 };
--- a/src/serving/iwirecodec.h
+++ b/src/serving/iwirecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backends/statedload.h"
 #include "serving/callerrequest.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -13,11 +14,12 @@
 struct ReplyMetadata
 {
     std::string requestId;
+    std::string instance;                               ///< id of the server, in answers to health probes
     bool isSigned = false;                              ///< has the signature; unsigned successful responses are not accepted
     bool saysNotRun = false;                            ///< states that the request was not run
     bool isServerLeaving = false;                       ///< states that the server that sent it leaves
     std::optional<double> limitPerSecond;               ///< requests per second that the server accepts from all hosts together
-    std::optional<int> waiting;                         ///< requests queued at the server
+    std::optional<backends::LoadStatement> load;        ///< of the server
     std::optional<framework::Milliseconds> idleTimeout; ///< of the connection
     bool isEncoded = false;                             ///< the body has a content encoding, so it differs from the original
 };
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -159,7 +159,7 @@
     if (m_context.isIsolated() && m_context.admission.isFirstRequest(m_request.turn.program, now)) {
         return Refusal::Isolated;
     }
-    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    const auto servers = usableServers();
     return m_context.admission.mayBegin(servers, m_route->priority, now) ? std::nullopt : std::optional(Refusal::ServersFull);
 }
 
@@ -168,9 +168,12 @@
     for (const auto& part : m_request.turn.promptParts) {
         m_requirements.prompt.push_back({.part = part.id, .tokens = part.tokens});
     }
+    const auto& turn = m_request.turn;
+    m_requirements.chain = !turn.line.empty() ? turn.line : turn.program.empty() ? m_request.id : turn.program;
     auto last = std::optional<AttemptResult>();
     m_context.serverLimits.recordDemand(m_service->name, m_context.clock.now());
     while (remainingTime() > s_minRemainingTime && !m_interruption->hasCallerDisconnected) {
+        co_await probeServers();
         const auto backend = last ? chooseBackend() : co_await awaitBackend();
         if (!backend) {
             break;
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -10,7 +10,9 @@
 #include "serving/backendclient.h"
 #include "serving/eventscanner.h"
 #include "serving/fleetstate.h"
+#include "serving/hostsettings.h"
 #include "serving/latencytracker.h"
+#include "serving/loadprobes.h"
 #include "serving/quarantine.h"
 #include "serving/serverlimits.h"
 #include "serving/shutdownschedule.h"
@@ -33,6 +35,7 @@
     scheduling::BackendChoice& choice;
     ServerLimits& serverLimits;
     BackendClient& backendClient;
+    LoadProbes& loadProbes;
     LatencyTracker& latencies;
     Quarantine& quarantine;
     const ShutdownSchedule& shutdown;
@@ -40,6 +43,7 @@
     scheduling::Admission& admission;
     std::function<int()> fleetSize;
     std::function<bool()> isIsolated;
+    OverloadControl overloadControl = OverloadControl::ByServers;
 };
 
 /// With less remaining time, a round trip to a backend server is not possible.
@@ -103,7 +107,12 @@
     auto programKey() const -> programs::ProgramKey;
     auto tokensPerEvent() const -> std::uint64_t;
     auto checkCapacity() -> std::optional<Refusal>;
+    /// Servers that this request may be sent to, whatever their load.
+    auto usableServers() const -> std::vector<backends::BackendPtr>;
     auto chooseBackend() -> backends::BackendPtr;
+    /// Asks those servers for their load that the choice depends on; the choice is then made among these.
+    auto probeServers() -> framework::Async<void>;
+    auto choiceSettings(const std::vector<backends::BackendPtr>& servers) const -> scheduling::ChoiceSettings;
     /// Chooses a server, and waits for one if none is available. Returns null if there is none in time, or if there is certainly none.
     auto awaitBackend() -> framework::Async<backends::BackendPtr>;
     auto canRetry(const AttemptResult& result) const -> bool;
@@ -140,6 +149,7 @@
     bool m_isKeptFromLeavingServer = false;
     std::optional<framework::Milliseconds> m_limitWait; ///< until servers accept the request, if they all state limits
     scheduling::BackendRequirements m_requirements;
+    std::vector<backends::BackendPtr> m_probed; ///< servers that have just stated their load
     std::vector<programs::Ancestor> m_ancestors;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
     std::uint64_t m_reservedTokens = 0;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -65,6 +65,7 @@
     }
     const auto startedAt = m_context.clock.now();
     auto found = BackendPtr();
+    m_probed.clear();
     ++m_context.serverLimits.waiting(m_service->name);
     while (!found && m_context.clock.now() < waitUntil && !m_interruption->hasCallerDisconnected &&
            !m_context.fleetState.backends().areAllLeaving(m_service->name)) {
@@ -77,18 +78,62 @@
     co_return found;
 }
 
+auto RequestHandler::usableServers() const -> std::vector<BackendPtr>
+{
+    return m_context.fleetState.backends().available(m_service->name);
+}
+
+auto RequestHandler::choiceSettings(const std::vector<BackendPtr>& servers) const -> scheduling::ChoiceSettings
+{
+    const auto hosts = m_context.fleetSize();
+    auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_context.dataCentre,
+                                               .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
+                                               .hosts = hosts,
+                                               .reportInterval = peers::heartbeatInterval(hosts)};
+    const auto statePace = std::ranges::any_of(servers, [](const BackendPtr& server) { return server->load.hasStatedPace(); });
+    if (m_service->engine && (statePace || m_context.overloadControl == OverloadControl::ByPrograms)) {
+        settings.rule = scheduling::PlacementRule::ExpectedFinish;
+    }
+    return settings;
+}
+
+auto RequestHandler::probeServers() -> Async<void>
+{
+    m_probed.clear();
+    const auto startedAt = m_context.clock.now();
+    auto asked = std::vector<BackendPtr>();
+    while (!m_service->healthPath.empty()) {
+        const auto servers = usableServers();
+        const auto settings = choiceSettings(servers);
+        if (settings.rule != scheduling::PlacementRule::ExpectedFinish) {
+            co_return;
+        }
+        m_context.serverLimits.applyShares(m_service->name, servers, m_context.clock.now());
+        const auto next = m_context.choice.serversToProbe(servers, asked, m_requirements, settings, m_context.clock.now());
+        if (next.empty()) {
+            break;
+        }
+        asked.insert(asked.end(), next.begin(), next.end());
+        const auto answered = co_await m_context.loadProbes.ask(next, m_service->healthPath);
+        m_probed.insert(m_probed.end(), answered.begin(), answered.end());
+    }
+    if (!asked.empty()) {
+        recordPhase("probe", startedAt);
+    }
+}
+
 auto RequestHandler::chooseBackend() -> BackendPtr
 {
-    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    auto servers = usableServers();
+    std::erase_if(m_probed, [&servers](const BackendPtr& probed) { return std::ranges::find(servers, probed) == servers.end(); });
+    if (!m_probed.empty()) {
+        servers = m_probed;
+    }
     if (!m_isKeptFromLeavingServer && m_context.fleetState.backends().isAnyLeaving(m_service->name)) {
         m_isKeptFromLeavingServer = true;
         m_context.metrics.count("requests_kept_from_leaving_servers");
     }
-    const auto hosts = m_context.fleetSize();
-    const auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_context.dataCentre,
-                                                     .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
-                                                     .hosts = hosts,
-                                                     .reportInterval = peers::heartbeatInterval(hosts)};
+    const auto settings = choiceSettings(servers);
     const auto now = m_context.clock.now();
     m_context.serverLimits.applyShares(m_service->name, servers, now);
     m_limitWait = std::nullopt;
@@ -103,6 +148,8 @@
 
 auto RequestHandler::attemptOnce(const BackendPtr& backend) -> Async<AttemptResult>
 {
+    const auto isProbed = std::ranges::find(m_probed, backend) != m_probed.end();
+    const auto stated = backend->load.latest(m_context.clock.now());
     ++backend->running;
     const auto target = BackendTarget{.instance = backend->entry.id, .account = m_account, .remainingTime = remainingTime()};
     const auto startedAt = m_context.clock.now();
@@ -137,6 +184,9 @@
                                  {"tookMs", took.count()},
                                  {"running", backend->running},
                                  {"elsewhere", backend->runningRemotely}};
+    if (isProbed && stated) {
+        entry["stated"] = stated->load.running + stated->load.waiting;
+    }
     if (result.framing) {
         entry["framing"] = framework::nameOf(s_responseFramingNames, *result.framing);
     }
@@ -210,7 +260,7 @@
         return false;
     }
     // If all servers are overdue, another attempt would only increase their load.
-    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    const auto servers = usableServers();
     return scheduling::hasResponsiveServer(servers, m_requirements, m_context.clock.now());
 }
 
@@ -231,8 +281,8 @@
 {
     const auto now = m_context.clock.now();
     const auto fingerprint = fingerprintOf(m_account, m_request.target, m_input.empty() ? m_request.body : m_input);
-    if (result.metadata.waiting) {
-        backend->reportedWaiting = *result.metadata.waiting;
+    if (result.metadata.load) {
+        backend->reportedWaiting = result.metadata.load->waiting;
         backend->reportedAt = now;
     }
     switch (result.outcome) {
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -37,7 +37,7 @@
     }
     // The turn does not tell whether it is its program's first. Other hosts are asked only if the answer matters.
     const auto now = m_context.clock.now();
-    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    const auto servers = usableServers();
     const auto isLimited = !m_account.empty() && m_context.limiter.timeToNext(m_account, accounts::ProgramPhase::Starting, now).count() > 0;
     if ((isLimited || scheduling::Admission::isSelective(servers, m_route->priority, now)) &&
         co_await m_context.budgets.isInProgress(programKey())) {
