Admission of whole programs by stretch and fair shares; rollouts of versions without a leader

An operator's order to move a service to another version was not known at all: servers of any version got requests.

Change: where the settings ask for it (contract "pressure"), new programs are admitted by a share that is steered to a target load, the target by the stretch of turns, with one decision a program, priorities and shares of client accounts by work. Rollouts: canary, raised and full stages as one row in the store that any host may move on, evidence by version and route from all hosts (CUSUM against the old version), versions as a condition of placement, status for the operator.

--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -60,10 +60,12 @@
     , m_fleetState(external.rows, m_clock)
     , m_limiter(framework::hash64(m_settings.host, m_incarnation))
     , m_serverLimits(m_settings.peerAddress, m_fleetState.backends(), m_metrics)
+    , m_overload(m_fleetState.backends(), m_metrics)
     , m_shared{.fleetState = m_fleetState,
                .limiter = m_limiter,
                .quarantine = m_quarantine,
                .serverLimits = m_serverLimits,
+               .overload = m_overload,
                .directStore = external.store}
     , m_link(context.get_executor(), m_settings, m_incarnation, m_clock, m_metrics, m_shared)
     , m_store(external.store, m_link, m_clock)
@@ -71,6 +73,7 @@
     , m_journal(context.get_executor(), m_programs, m_store, m_link, m_clock, turnMemory(m_settings))
     , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock)
     , m_storeWatcher(context.get_executor(), external.store, external.feed, m_store.directWay(), m_fleetState, external.rows, m_clock)
+    , m_rollouts(context.get_executor(), m_fleetState, external.rows, m_store, m_link, m_clock, m_metrics, m_settings.offersRollouts)
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
     , m_directDialer(context.get_executor())
     , m_connector(context.get_executor(), external.dialer != nullptr ? *external.dialer : m_directDialer, m_fleetState.backends(), m_clock,
@@ -87,6 +90,8 @@
                        .budgets = m_budgets,
                        .choice = m_choice,
                        .serverLimits = m_serverLimits,
+                       .overload = m_overload,
+                       .rollouts = m_rollouts,
                        .backendClient = m_backendClient,
                        .loadProbes = m_loadProbes,
                        .latencies = m_latencies,
@@ -107,6 +112,7 @@
     m_shared.journal = &m_journal;
     m_shared.budgets = &m_budgets;
     m_shared.connector = &m_connector;
+    m_shared.rollouts = &m_rollouts;
     if (m_settings.metricsAddress) {
         m_metricsServer = std::make_unique<StatusServer>(context.get_executor(), peers::parseEndpoint(*m_settings.metricsAddress).value(),
                                                          [this](std::string_view path) { return statusResponse(path); });
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -71,6 +71,7 @@
     accounts::FleetLimiter m_limiter;
     Quarantine m_quarantine;
     ServerLimits m_serverLimits;
+    OverloadMonitor m_overload;
     ShutdownSchedule m_shutdown;
     SharedState m_shared;
     FleetLink m_link;
@@ -79,6 +80,7 @@
     programs::TurnJournal m_journal;
     programs::BudgetLedger m_budgets;
     StoreWatcher m_storeWatcher;
+    RolloutControl m_rollouts;
     scheduling::BackendChoice m_choice;
     scheduling::Admission m_admission;
     LatencyTracker m_latencies;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -116,6 +116,8 @@
             sendToAll();
             refreshBackends();
             m_state.serverLimits.update(m_table, now);
+            m_state.overload.update(m_table, now);
+            m_state.rollouts->update(m_table);
             recordStoreImpairment();
             m_table.removeExpired(now);
             std::erase_if(m_suspects, [this](const auto& suspect) { return !m_table.isKnown(suspect.first); });
@@ -180,6 +182,8 @@
     }
     peers::addLeavingBackends(heartbeat, leaving);
     m_state.serverLimits.addTo(heartbeat, now);
+    m_state.overload.addTo(heartbeat, now);
+    m_state.rollouts->addTo(heartbeat);
 }
 
 auto FleetLink::makeHeartbeat() -> messages::Heartbeat
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -12,7 +12,9 @@
 #include "programs/turnjournal.h"
 #include "serving/fleetstate.h"
 #include "serving/hostsettings.h"
+#include "serving/overloadmonitor.h"
 #include "serving/quarantine.h"
+#include "serving/rolloutcontrol.h"
 #include "serving/serverconnector.h"
 #include "serving/serverlimits.h"
 #include "store/routedstore.h"
@@ -32,11 +34,13 @@
     accounts::FleetLimiter& limiter;
     Quarantine& quarantine;
     ServerLimits& serverLimits;
+    OverloadMonitor& overload;
     store::IStore& directStore;
     store::RoutedStore* store = nullptr;
     programs::TurnJournal* journal = nullptr;
     programs::BudgetLedger* budgets = nullptr;
     ServerConnector* connector = nullptr;
+    RolloutControl* rollouts = nullptr;
 };
 
 /// Connects this host to its peers: sends and receives heartbeats, makes calls and answers those of others.
--- a/src/serving/fleetstate.cpp
+++ b/src/serving/fleetstate.cpp
@@ -78,6 +78,8 @@
             m_backends.setDrainedDataCentres(m_drained);
             framework::logEvent(LogLevel::Info, "configuration", drain->isWithdrawn ? "data_centre_returned" : "data_centre_drained",
                                 {{"dataCentre", drain->dataCentre}, {"source", source}});
+        } else if (auto* order = std::get_if<rollouts::RolloutOrder>(&decoded)) {
+            m_rolloutOrders[order->service] = std::move(*order);
         } else {
             framework::logEvent(LogLevel::Warning, "configuration", "row_unreadable", {{"row", row.address.key}});
         }
--- a/src/serving/fleetstate.h
+++ b/src/serving/fleetstate.h
@@ -2,6 +2,7 @@
 
 #include "backends/backendregistry.h"
 #include "framework/global/iclock.h"
+#include "rollouts/rollouttypes.h"
 #include "routing/routetable.h"
 #include "store/storetypes.h"
 
@@ -24,7 +25,8 @@
 struct UnknownRow
 {};
 
-using OperatorRow = std::variant<UnknownRow, routing::FleetConfiguration, DataCentreDrain>;
+/// An order is withdrawn if it names no version.
+using OperatorRow = std::variant<UnknownRow, routing::FleetConfiguration, DataCentreDrain, rollouts::RolloutOrder>;
 
 /// Decodes rows of the operator and of backend servers.
 class IRowDecoder
@@ -37,6 +39,9 @@
     /// Returns nullopt if the row does not describe a usable server.
     virtual auto backendRow(const store::Row& row) const -> std::optional<backends::BackendEntry> = 0;
 
+    /// The row from which the operator reads how far a rollout has come.
+    virtual auto rolloutStatus(const rollouts::RolloutStatus& status) const -> store::Put = 0;
+
     virtual auto operatorTable() const -> std::string = 0;
     virtual auto backendTable() const -> std::string = 0;
 };
@@ -80,6 +85,8 @@
 
     /// The active configuration; null if none was received yet.
     auto routes() const -> const routing::RouteTablePtr& { return m_routes; }
+    /// The latest order for each service.
+    auto rolloutOrders() const -> const std::map<std::string, rollouts::RolloutOrder>& { return m_rolloutOrders; }
     auto backends() -> backends::BackendRegistry& { return m_backends; }
     auto backends() const -> const backends::BackendRegistry& { return m_backends; }
 
@@ -93,6 +100,7 @@
     TableCopy m_backendTable;
     routing::RouteTablePtr m_routes;
     std::set<std::string> m_drained;
+    std::map<std::string, rollouts::RolloutOrder> m_rolloutOrders; ///< by service
     backends::BackendRegistry m_backends;
 };
 
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -35,7 +35,8 @@
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
     OverloadControl overloadControl = OverloadControl::ByServers;
-    bool isFirstStart = false; ///< first start of the whole system: no requests were served before
+    bool offersRollouts = false; ///< the operator may order rollouts of new versions
+    bool isFirstStart = false;   ///< first start of the whole system: no requests were served before
     std::uint64_t memoryBytes = 0;
     framework::Milliseconds stopGrace{8'000}; ///< time between the stop signal and the kill of the process
 };
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -112,6 +112,8 @@
         m_history = programs::TurnHistory::SentByCaller;
     }
     const auto seed = framework::hash64(m_request.turn.program.empty() ? m_request.id : m_request.turn.program);
+    const auto& turn = m_request.turn;
+    m_requirements.chain = !turn.line.empty() ? turn.line : turn.program.empty() ? m_request.id : turn.program;
     m_service = m_routes->service(routing::RouteTable::chooseService(*m_route, seed));
     if (m_service == nullptr) {
         return Refusal::NoServer;
@@ -159,17 +161,34 @@
     if (m_context.isIsolated() && m_context.admission.isFirstRequest(m_request.turn.program, now)) {
         return Refusal::Isolated;
     }
+    if (m_context.overloadControl == OverloadControl::ByPrograms) {
+        return admitProgram();
+    }
     const auto servers = usableServers();
     return m_context.admission.mayBegin(servers, m_route->priority, now) ? std::nullopt : std::optional(Refusal::ServersFull);
 }
 
+auto RequestHandler::admitProgram() -> std::optional<Refusal>
+{
+    const auto now = m_context.clock.now();
+    const auto& program = m_request.turn.program.empty() ? m_request.id : m_request.turn.program;
+    if (m_context.admission.isFirstRequest(program, now)) {
+        m_context.overload.recordDemand(*m_route, m_service->name, m_account, now);
+    }
+    const auto decision = m_context.overload.decide(m_service->name, program, m_account, m_route->priority);
+    if (decision.isAdmitted) {
+        return std::nullopt;
+    }
+    m_admissionWait = decision.retryAfter;
+    m_admittedShare = decision.share;
+    return Refusal::ServersFull;
+}
+
 auto RequestHandler::serve() -> Async<std::optional<Refusal>>
 {
     for (const auto& part : m_request.turn.promptParts) {
         m_requirements.prompt.push_back({.part = part.id, .tokens = part.tokens});
     }
-    const auto& turn = m_request.turn;
-    m_requirements.chain = !turn.line.empty() ? turn.line : turn.program.empty() ? m_request.id : turn.program;
     auto last = std::optional<AttemptResult>();
     m_context.serverLimits.recordDemand(m_service->name, m_context.clock.now());
     while (remainingTime() > s_minRemainingTime && !m_interruption->hasCallerDisconnected) {
@@ -249,6 +268,7 @@
 {
     const auto status = result.head.result_int();
     if (isTurn() && status >= 200 && status < 300) {
+        recordTurnTime();
         co_await commitTurn(backend);
     }
     if (const auto rest = m_continuation ? m_continuation->takeRemainder() : std::string(); !rest.empty()) {
@@ -281,6 +301,9 @@
         return std::clamp(m_limitWait.value_or(s_retrySoon), s_retrySoon, s_maxLimitRetry) +
                Milliseconds(framework::hash64(m_request.id) % s_retrySpreadMilliseconds);
     case Refusal::ServersFull:
+        if (m_admissionWait) {
+            return m_admissionWait;
+        }
         return s_retryRateLimited + Milliseconds(framework::hash64(m_request.id) % s_retrySpreadMilliseconds);
     default:
         return std::nullopt;
@@ -344,6 +367,13 @@
             fields["mostTokens"] = m_request.turn.maxTokens;
         }
     }
+    if (m_admittedShare) {
+        const auto* admission = m_context.overload.admission(m_service->name);
+        fields["admittedShare"] = *m_admittedShare;
+        fields["load"] = admission->load().load;
+        fields["targetLoad"] = admission->targetLoad();
+        fields["stretch"] = admission->load().stretch.average();
+    }
     if (!m_phases.empty()) {
         fields["stagesMs"] = m_phases;
     }
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -13,7 +13,9 @@
 #include "serving/hostsettings.h"
 #include "serving/latencytracker.h"
 #include "serving/loadprobes.h"
+#include "serving/overloadmonitor.h"
 #include "serving/quarantine.h"
+#include "serving/rolloutcontrol.h"
 #include "serving/serverlimits.h"
 #include "serving/shutdownschedule.h"
 #include "serving/streamcontinuation.h"
@@ -34,6 +36,8 @@
     programs::BudgetLedger& budgets;
     scheduling::BackendChoice& choice;
     ServerLimits& serverLimits;
+    OverloadMonitor& overload;
+    RolloutControl& rollouts;
     BackendClient& backendClient;
     LoadProbes& loadProbes;
     LatencyTracker& latencies;
@@ -84,9 +88,12 @@
     auto determinePhase() -> framework::Async<void>;
     /// Whether the request looks like the start of a program as far as this host knows.
     auto mayStartProgram() const -> bool;
+    /// Whether some new programs are refused because of the load.
+    auto isAdmissionSelective() const -> bool;
     auto prepareTurn() -> framework::Async<std::optional<Refusal>>;
     auto prepareHistory() -> framework::Async<std::optional<Refusal>>;
     auto reserveBudget() -> framework::Async<std::optional<Refusal>>;
+    auto admitProgram() -> std::optional<Refusal>;
     auto serve() -> framework::Async<std::optional<Refusal>>;
     /// Ends a request that no server answered: a started response is aborted, otherwise the refusal is returned.
     auto endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>;
@@ -100,6 +107,8 @@
     auto stallTimeout() const -> framework::Milliseconds;
     auto canTryOtherServer() const -> bool;
     auto slownessOf(const AttemptResult& result) -> double;
+    /// Records the time of a completed turn.
+    auto recordTurnTime() -> void;
     auto recordOutcome(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
@@ -147,7 +156,9 @@
     std::shared_ptr<Interruption> m_interruption = std::make_shared<Interruption>();
     bool m_mayHaveRun = false;
     bool m_isKeptFromLeavingServer = false;
-    std::optional<framework::Milliseconds> m_limitWait; ///< until servers accept the request, if they all state limits
+    std::optional<framework::Milliseconds> m_admissionWait; ///< until a refused program may be admitted
+    std::optional<double> m_admittedShare;                  ///< of programs like this one, if it was refused for the load
+    std::optional<framework::Milliseconds> m_limitWait;     ///< until servers accept the request, if they all state limits
     scheduling::BackendRequirements m_requirements;
     std::vector<backends::BackendPtr> m_probed; ///< servers that have just stated their load
     std::vector<programs::Ancestor> m_ancestors;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -80,7 +80,8 @@
 
 auto RequestHandler::usableServers() const -> std::vector<BackendPtr>
 {
-    return m_context.fleetState.backends().available(m_service->name);
+    const auto servers = m_context.fleetState.backends().available(m_service->name);
+    return m_context.rollouts.allowed(m_service->name, servers, m_requirements.chain, m_attempts > 0);
 }
 
 auto RequestHandler::choiceSettings(const std::vector<BackendPtr>& servers) const -> scheduling::ChoiceSettings
@@ -277,6 +278,21 @@
     return m_context.latencies.record(m_route->name, span / (events - 1));
 }
 
+auto RequestHandler::recordTurnTime() -> void
+{
+    using FractionalMs = std::chrono::duration<double, std::milli>;
+    const auto events = m_events.events() - m_eventsBeforeAttempt;
+    if (m_context.overloadControl != OverloadControl::ByPrograms || events < 1 || m_firstEventAt < m_attemptStartedAt) {
+        return;
+    }
+    const auto now = m_context.clock.now();
+    const auto turn = EndedTurn{.tookMs = FractionalMs(now - m_request.arrivedAt).count(),
+                                .firstEventMs = FractionalMs(m_firstEventAt - m_attemptStartedAt).count(),
+                                .eventMs = events > 1 ? FractionalMs(m_lastEventAt - m_firstEventAt).count() / (events - 1) : 0,
+                                .events = m_events.events()};
+    m_context.overload.recordTurn(*m_route, m_service->name, turn, now);
+}
+
 auto RequestHandler::recordOutcome(const BackendPtr& backend, const AttemptResult& result) -> void
 {
     const auto now = m_context.clock.now();
@@ -288,7 +304,9 @@
     switch (result.outcome) {
     case AttemptOutcome::Answered: {
         const auto isFailure = result.head.result_int() >= 500;
-        backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, isFailure ? 0 : slownessOf(result), now);
+        const auto slowness = isFailure ? 0 : slownessOf(result);
+        backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, slowness, now);
+        m_context.rollouts.recordResponse(*backend, m_route->name, isFailure, slowness);
         m_context.quarantine.recordAnswer(fingerprint);
         return;
     }
@@ -302,10 +320,12 @@
     case AttemptOutcome::Lost:
     case AttemptOutcome::Truncated:
         backend->health.record(ServerOutcome::Broken, 0, now);
+        m_context.rollouts.recordResponse(*backend, m_route->name, true, 0);
         m_context.quarantine.recordCrash(fingerprint, now);
         return;
     case AttemptOutcome::Overdue:
         backend->health.record(ServerOutcome::TimedOut, 0, now);
+        m_context.rollouts.recordResponse(*backend, m_route->name, true, 0);
         return;
     case AttemptOutcome::Cancelled:
         if (m_interruption->isTimedOut && !m_response.hasStarted()) {
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -37,15 +37,22 @@
     }
     // The turn does not tell whether it is its program's first. Other hosts are asked only if the answer matters.
     const auto now = m_context.clock.now();
-    const auto servers = usableServers();
     const auto isLimited = !m_account.empty() && m_context.limiter.timeToNext(m_account, accounts::ProgramPhase::Starting, now).count() > 0;
-    if ((isLimited || scheduling::Admission::isSelective(servers, m_route->priority, now)) &&
-        co_await m_context.budgets.isInProgress(programKey())) {
+    if ((isLimited || isAdmissionSelective()) && co_await m_context.budgets.isInProgress(programKey())) {
         m_phase = accounts::ProgramPhase::InProgress;
     }
     recordPhase("program", now);
 }
 
+auto RequestHandler::isAdmissionSelective() const -> bool
+{
+    if (m_context.overloadControl == OverloadControl::ByPrograms) {
+        const auto* admission = m_context.overload.admission(m_service->name);
+        return admission != nullptr && admission->isSelective();
+    }
+    return scheduling::Admission::isSelective(usableServers(), m_route->priority, m_context.clock.now());
+}
+
 auto RequestHandler::prepareTurn() -> Async<std::optional<Refusal>>
 {
     m_input = m_request.body;
--- a/src/serving/tests/servingdecisionstest.cpp
+++ b/src/serving/tests/servingdecisionstest.cpp
@@ -44,6 +44,11 @@
         return backends::BackendEntry{.id = row.address.key, .service = "engine", .address = "10.0.0.1:1", .dataCentre = "a", .slots = 1};
     }
 
+    auto rolloutStatus(const laburnummill::rollouts::RolloutStatus& status) const -> store::Put override
+    {
+        return {.address = {.table = "status", .partition = {}, .key = status.service}, .value = {}};
+    }
+
     auto operatorTable() const -> std::string override { return "op"; }
     auto backendTable() const -> std::string override { return "servers"; }
 };
