Stretch of turns is a ratio of sums, and the target load stays where refusals help

Cause: the average of ratios was dominated by short turns, whose way and prompt take longer than their few events; with idle times near the 5th percentile it read 2.0 at a load of 0.45, so that the target fell to its lower end and programs were refused while slots were free.

Change: times and idle times are summed, idle times are learned near the lower quartile, the target load stays between 0.7 and 0.98.

--- a/src/scheduling/programadmission.cpp
+++ b/src/scheduling/programadmission.cpp
@@ -12,19 +12,21 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-/// Average stretch of turns at which programs with the tightest objectives, 1.3 times their idle time, still end in time.
-constexpr auto s_targetStretch = 1.25;
+/// Stretch of turns at which programs with the tightest objectives still end in time: these are 1.3 times the idle time, the caller's way
+/// included, and a few hundred milliseconds more for a program.
+constexpr auto s_targetStretch = 1.4;
 
-/// Range of the target load. Above the upper end turns queue at the engines, below the lower end most slots are free at any moment.
-constexpr auto s_lowestTarget = 0.5;
-constexpr auto s_highestTarget = 0.95;
-constexpr auto s_firstTarget = 0.85;
+/// Range of the target load. Above the upper end turns queue at the engines; below the lower end slots are free, so that turns take long
+/// for another reason, which refusals do not cure.
+constexpr auto s_lowestTarget = 0.7;
+constexpr auto s_highestTarget = 0.98;
+constexpr auto s_firstTarget = 0.9;
 
 /// Change of the target load a second for each unit by which the stretch misses its target.
 constexpr auto s_targetPerSecond = 0.1;
 
-/// Fewer turns say nothing of the stretch.
-constexpr auto s_minTurns = 20.0;
+/// Less work than that of some twenty turns says nothing of the stretch.
+constexpr auto s_minIdleMs = 4'000.0;
 
 /// Time in which the share follows the load; the programs in progress, which are not refused, end within a few seconds.
 constexpr auto s_integralSeconds = 1.5;
@@ -70,7 +72,7 @@
     m_load = load;
     m_lowestPriority = lowestPriority;
     const auto excess = load.stretch.average() - s_targetStretch;
-    if (load.stretch.turns >= s_minTurns && (isSelective() || excess > 0)) {
+    if (load.stretch.idleMs >= s_minIdleMs && (isSelective() || excess > 0)) {
         m_targetLoad = std::clamp(m_targetLoad - s_targetPerSecond * excess * step, s_lowestTarget, s_highestTarget);
     }
     auto floor = s_leastShareOfAll;
--- a/src/scheduling/tests/admissiongate.cpp
+++ b/src/scheduling/tests/admissiongate.cpp
@@ -35,7 +35,7 @@
     -> void
 {
     static_cast<void>(program);
-    m_hosts[host].stretches.record(tookMs / idleMs, now);
+    m_hosts[host].stretches.record(tookMs, idleMs, now);
 }
 
 auto AdmissionGate::exchange(std::size_t host, const std::vector<backends::BackendPtr>& servers, framework::Instant now) -> void
--- a/src/scheduling/turnstretch.cpp
+++ b/src/scheduling/turnstretch.cpp
@@ -9,9 +9,9 @@
 
 using framework::Instant;
 
-/// Weights of samples below and above the low figure: it settles where some 5 in 100 samples are below.
-constexpr auto s_fallWeight = 0.1;
-constexpr auto s_riseWeight = 0.005;
+/// Weights of samples below and above the low figure: it settles where about a quarter of the samples are below.
+constexpr auto s_fallWeight = 0.03;
+constexpr auto s_riseWeight = 0.01;
 
 constexpr auto s_minSamples = 5;
 
@@ -56,22 +56,22 @@
 
 auto StretchSum::operator+=(const StretchSum& other) -> StretchSum&
 {
-    sum += other.sum;
-    turns += other.turns;
+    tookMs += other.tookMs;
+    idleMs += other.idleMs;
     return *this;
 }
 
-auto RecentStretches::record(double stretch, Instant now) -> void
+auto RecentStretches::record(double tookMs, double idleMs, Instant now) -> void
 {
     m_sum = current(now);
-    m_sum += {.sum = std::min(stretch, s_maxStretch), .turns = 1};
+    m_sum += {.tookMs = std::min(tookMs, idleMs * s_maxStretch), .idleMs = idleMs};
     m_updatedAt = now;
 }
 
 auto RecentStretches::current(Instant now) const -> StretchSum
 {
     const auto left = std::exp(-std::chrono::duration<double>(now - m_updatedAt).count() / s_windowSeconds);
-    return {.sum = m_sum.sum * left, .turns = m_sum.turns * left};
+    return {.tookMs = m_sum.tookMs * left, .idleMs = m_sum.idleMs * left};
 }
 
 } // namespace laburnummill::scheduling
--- a/src/scheduling/turnstretch.h
+++ b/src/scheduling/turnstretch.h
@@ -37,22 +37,23 @@
     LowFigure m_event;
 };
 
-/// Sum and number of the stretches of recent turns: the time of a turn over its time on an idle engine.
+/// Times of recent turns and the times that they would have taken on idle engines. Sums, so that short turns, which take long in
+/// proportion for the way alone, count little.
 struct StretchSum
 {
-    double sum = 0;
-    double turns = 0;
+    double tookMs = 0;
+    double idleMs = 0;
 
     auto operator+=(const StretchSum& other) -> StretchSum&;
-    /// Average stretch; 1 if there are no turns.
-    auto average() const -> double { return turns > 0 ? sum / turns : 1; }
+    /// Ratio of the two; 1 if there are no turns.
+    auto average() const -> double { return idleMs > 0 ? tookMs / idleMs : 1; }
 };
 
 /// The stretches of the turns that ended on this host within about a second.
 class RecentStretches
 {
 public:
-    auto record(double stretch, framework::Instant now) -> void;
+    auto record(double tookMs, double idleMs, framework::Instant now) -> void;
     auto current(framework::Instant now) const -> StretchSum;
 
 private:
