--- a/src/serving/overloadmonitor.cpp
+++ b/src/serving/overloadmonitor.cpp
@@ -42,9 +42,7 @@
     m_routes[route.name].turns += 1;
     auto& load = m_services[service];
     load.idleTimes.record(turn.firstEventMs, turn.eventMs);
-    const auto stretch = turn.tookMs / std::max(load.idleTimes.expected(turn.events), 1.0);
-    load.stretches.record(stretch, now);
-    m_metrics.record("turn_stretch", stretch);
+    load.stretches.record(turn.tookMs, std::max(load.idleTimes.expected(turn.events), 1.0), now);
 }
 
 auto OverloadMonitor::decide(const std::string& service, std::string_view program, const std::string& account, int priority) const
@@ -78,8 +76,7 @@
             if (report.service() != hash) {
                 continue;
             }
-            load.stretch +=
-                {.sum = report.stretch_sum_permille() / peers::s_permille, .turns = report.turns_permille() / peers::s_permille};
+            load.stretch += {.tookMs = static_cast<double>(report.took_ms()), .idleMs = static_cast<double>(report.idle_ms())};
             for (const auto& demand : report.demands()) {
                 demands[demand.account()] += demand.permille() / peers::s_permille;
             }
@@ -107,7 +104,7 @@
                          {"load", admission.load().load},
                          {"targetLoad", admission.targetLoad()},
                          {"stretch", admission.load().stretch.average()},
-                         {"turns", admission.load().stretch.turns}});
+                         {"stretchOverMs", admission.load().stretch.idleMs}});
 }
 
 auto OverloadMonitor::addTo(peers::messages::Heartbeat& heartbeat, Instant now) -> void
@@ -116,13 +113,13 @@
     for (auto& [name, service] : m_services) {
         const auto stretch = service.stretches.current(now);
         const auto demands = service.demands.current(now);
-        if (stretch.turns * peers::s_permille < 1 && demands.empty()) {
+        if (stretch.idleMs < 1 && demands.empty()) {
             continue;
         }
         auto* report = heartbeat.add_service_programs();
         report->set_service(peers::backendHash(name));
-        report->set_stretch_sum_permille(permille(stretch.sum));
-        report->set_turns_permille(permille(stretch.turns));
+        report->set_took_ms(static_cast<std::uint32_t>(stretch.tookMs));
+        report->set_idle_ms(static_cast<std::uint32_t>(stretch.idleMs));
         for (const auto& [account, demand] : demands) {
             auto* reported = report->add_demands();
             reported->set_account(account);
