--- a/src/rollouts/rolloutplan.cpp
+++ b/src/rollouts/rolloutplan.cpp
@@ -15,6 +15,7 @@
 constexpr auto s_canaryAtLeast = 0.12;
 constexpr auto s_canaryAtMost = 0.6;
 constexpr auto s_raisedFor = 0.12;
+constexpr auto s_raisedUntilAtMost = 0.75;
 
 /// A stage lasts at least this long: hosts learn of it within a second.
 constexpr auto s_shortestStage = Milliseconds(1'000);
@@ -43,6 +44,21 @@
     return std::nullopt;
 }
 
+auto afterRaised(const RolloutView& view) -> std::optional<StageChange>
+{
+    if (view.sinceStage < std::max(s_shortestStage, part(view.duration, s_raisedFor))) {
+        return std::nullopt;
+    }
+    // The evidence may have become doubtful since the canary; all requests would exceed the bound on a bad version within a second.
+    if (view.verdict == EvidenceVerdict::Good) {
+        return StageChange{.stage = RolloutStage::Full, .reason = RolloutReason::EvidenceGood};
+    }
+    if (view.sinceOrder >= part(view.duration, s_raisedUntilAtMost)) {
+        return StageChange{.stage = RolloutStage::Full, .reason = RolloutReason::TimeShort};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 auto nextStage(const RolloutView& view) -> std::optional<StageChange>
@@ -54,6 +70,9 @@
     if (!view.isServiceKnown || view.duration <= Milliseconds(0)) {
         return back(RolloutReason::InvalidOrder);
     }
+    if (view.isAlreadyServing) {
+        return StageChange{.stage = RolloutStage::Done, .reason = RolloutReason::AlreadyServing};
+    }
     if (view.verdict == EvidenceVerdict::Bad) {
         return back(RolloutReason::EvidenceBad);
     }
@@ -69,10 +88,7 @@
     case RolloutStage::Canary:
         return afterCanary(view);
     case RolloutStage::Raised:
-        if (view.sinceStage >= std::max(s_shortestStage, part(view.duration, s_raisedFor))) {
-            return StageChange{.stage = RolloutStage::Full, .reason = RolloutReason::EvidenceGood};
-        }
-        return std::nullopt;
+        return afterRaised(view);
     case RolloutStage::Full:
         if (view.sinceStage >= s_shortestStage && view.oldVersionIdleFor >= s_idleTime) {
             return StageChange{.stage = RolloutStage::Done, .reason = RolloutReason::OldVersionIdle};
--- a/src/rollouts/rolloutplan.h
+++ b/src/rollouts/rolloutplan.h
@@ -16,7 +16,8 @@
     framework::Milliseconds duration{0}; ///< ordered
     bool isServiceKnown = true;
     bool isWithdrawn = false;
-    int newServers = 0; ///< that are warm
+    bool isAlreadyServing = false; ///< the ordered version is the one that serves
+    int newServers = 0;            ///< that are warm
     EvidenceVerdict verdict = EvidenceVerdict::Open;
     std::uint64_t newResponses = 0;               ///< of the new version since the order
     framework::Milliseconds oldVersionIdleFor{0}; ///< time for which no host has reported a request at the old version
--- a/src/rollouts/rollouttypes.h
+++ b/src/rollouts/rollouttypes.h
@@ -4,6 +4,7 @@
 #include "framework/global/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace laburnummill::rollouts {
@@ -15,6 +16,7 @@
     std::string version;                 ///< to which the requests are moved
     framework::Milliseconds duration{0}; ///< in which the rollout should end
     std::uint64_t number = 0;            ///< of the order: the store's version of its row; a later order has a higher one
+    bool isWithdrawn = false;            ///< the operator has removed the row
 
     auto operator==(const RolloutOrder&) const -> bool = default;
 };
@@ -52,13 +54,14 @@
     EvidenceGood, ///< enough responses without a sign of a fault
     TimeShort,    ///< the time limit leaves no room to wait for more responses
     OldVersionIdle,
-    EvidenceBad,  ///< the new version fails or is slow
-    NoServers,    ///< no server of the version has appeared
-    InvalidOrder, ///< the service does not exist, or the order leaves no time
-    Withdrawn,    ///< the operator has removed the order
+    EvidenceBad,    ///< the new version fails or is slow
+    NoServers,      ///< no server of the version has appeared
+    InvalidOrder,   ///< the service does not exist, or the order leaves no time
+    Withdrawn,      ///< the operator has removed the order
+    AlreadyServing, ///< the ordered version is the one that serves
 };
 
-inline constexpr auto s_rolloutReasonNames = framework::NameTable<RolloutReason, 9>{{
+inline constexpr auto s_rolloutReasonNames = framework::NameTable<RolloutReason, 10>{{
     {RolloutReason::Ordered, "ordered"},
     {RolloutReason::ServersReady, "servers_ready"},
     {RolloutReason::EvidenceGood, "evidence_good"},
@@ -68,6 +71,7 @@
     {RolloutReason::NoServers, "no_servers"},
     {RolloutReason::InvalidOrder, "invalid_order"},
     {RolloutReason::Withdrawn, "withdrawn"},
+    {RolloutReason::AlreadyServing, "already_serving"},
 }};
 
 /// The state of a rollout as it lies in the store.
@@ -77,7 +81,12 @@
     std::string version;
     RolloutStage stage = RolloutStage::Waiting;
     RolloutReason reason = RolloutReason::Ordered;
-    std::uint64_t rowVersion = 0; ///< of the row in the store; the highest known one is valid
+    std::uint64_t rowVersion = 0;             ///< of the row in the store; the highest known one is valid
+    std::optional<std::string> formerVersion; ///< that served before the order; nullopt if the host that wrote the row knew no server
+    framework::Milliseconds duration{0};      ///< ordered
+    std::int64_t startedAt = 0;               ///< when the first stage was written, in Unix milliseconds
+    std::uint64_t refusedOrder = 0;           ///< number of the last order that was refused because this one was in progress
+    std::string refusedVersion;               ///< to which that order was to move the requests
 
     auto operator==(const RolloutProgress&) const -> bool = default;
 };
@@ -89,7 +98,8 @@
     std::string version;
     RolloutStage stage = RolloutStage::Waiting;
     RolloutReason reason = RolloutReason::Ordered;
-    std::string refusedVersion; ///< of a second order that came while this rollout was in progress; empty if there was none
+    std::string refusedVersion;   ///< of a second order that came while this rollout was in progress
+    bool hasRefusedOrder = false; ///< there was one
 };
 
 /// Share of a service's programs that use the new version at a stage.
--- a/src/serving/fleetstate.h
+++ b/src/serving/fleetstate.h
@@ -25,7 +25,6 @@
 struct UnknownRow
 {};
 
-/// An order is withdrawn if it names no version.
 using OperatorRow = std::variant<UnknownRow, routing::FleetConfiguration, DataCentreDrain, rollouts::RolloutOrder>;
 
 /// Decodes rows of the operator and of backend servers.
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -328,6 +328,9 @@
         m_context.rollouts.recordResponse(*backend, m_route->name, true, 0);
         return;
     case AttemptOutcome::Cancelled:
+        if (m_interruption->isTimedOut) {
+            m_context.rollouts.recordResponse(*backend, m_route->name, true, 0);
+        }
         if (m_interruption->isTimedOut && !m_response.hasStarted()) {
             backend->health.record(ServerOutcome::TimedOut, 0, now);
         }
