--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
 
 namespace laburnummill::testing {
@@ -36,43 +37,58 @@
 
 } // namespace
 
-EntryFleet::EntryFleet(const std::vector<std::string>& dataCentres)
+EntryFleet::EntryFleet(const std::vector<std::string>& dataCentres, bool offersRollouts)
     : m_store(m_context)
     , m_engine(m_context)
 {
     m_store.put("op", "config", configuration(1, 1'000));
     putEngine("engine-1", m_engine.address(), "ready");
-    const auto hosts = dataCentres.size();
-    for (auto index = std::size_t{0}; index < hosts; ++index) {
-        auto running = std::make_unique<Running>();
-        auto& settings = running->settings;
-        settings.host = fmt::format("host-{}", index);
-        settings.dataCentre = dataCentres[index];
-        settings.callerAddress = freeAddress(m_context, index);
-        settings.readyAddress = freeAddress(m_context, index);
-        settings.metricsAddress = freeAddress(m_context, index);
-        settings.peerAddress = freeAddress(m_context, index);
-        settings.storeAddress = fmt::format("127.0.0.1:{}", m_store.endpoint().port());
-        settings.isFirstStart = true;
-        settings.memoryBytes = 100 * 1024 * 1024;
-        settings.stopGrace = Milliseconds(6'000);
-        running->metrics = std::make_unique<framework::Metrics>();
-        running->store = std::make_unique<platform::HttpStore>(m_context.get_executor(), m_store.endpoint(), *running->metrics);
-        running->serverPath = std::make_unique<ServerPathStandIn>(m_context);
-        running->host = std::make_unique<serving::EntryHost>(
-            m_context, settings, *running->metrics,
-            serving::ExternalInterfaces{
-                .store = *running->store, .feed = *running->store, .rows = m_rows, .wire = m_wire, .dialer = running->serverPath.get()});
-        running->host->start();
-        m_hosts.push_back(std::move(running));
+    for (const auto& dataCentre : dataCentres) {
+        startHost(dataCentre, offersRollouts);
     }
-    until([this, hosts] {
-        for (auto index = std::size_t{0}; index < hosts; ++index) {
-            if (!m_hosts[index]->host->isReady() || m_hosts[index]->host->reachableHostCount() < static_cast<int>(hosts)) {
-                return false;
-            }
-        }
-        return true;
+    awaitHosts();
+}
+
+auto EntryFleet::addHost(const std::string& dataCentre) -> void
+{
+    startHost(dataCentre, m_hosts.front()->settings.offersRollouts);
+    awaitHosts();
+}
+
+auto EntryFleet::startHost(const std::string& dataCentre, bool offersRollouts) -> void
+{
+    const auto index = m_hosts.size();
+    auto running = std::make_unique<Running>();
+    running->storeEndpoint = m_store.addEndpoint();
+    auto& settings = running->settings;
+    settings.host = fmt::format("host-{}", index);
+    settings.dataCentre = dataCentre;
+    settings.callerAddress = freeAddress(m_context, index);
+    settings.readyAddress = freeAddress(m_context, index);
+    settings.metricsAddress = freeAddress(m_context, index);
+    settings.peerAddress = freeAddress(m_context, index);
+    settings.storeAddress = fmt::format("127.0.0.1:{}", running->storeEndpoint.port());
+    settings.isFirstStart = true;
+    settings.offersRollouts = offersRollouts;
+    settings.memoryBytes = 100 * 1024 * 1024;
+    settings.stopGrace = Milliseconds(6'000);
+    running->metrics = std::make_unique<framework::Metrics>();
+    running->store = std::make_unique<platform::HttpStore>(m_context.get_executor(), running->storeEndpoint, *running->metrics);
+    running->serverPath = std::make_unique<ServerPathStandIn>(m_context);
+    running->host = std::make_unique<serving::EntryHost>(
+        m_context, settings, *running->metrics,
+        serving::ExternalInterfaces{
+            .store = *running->store, .feed = *running->store, .rows = m_rows, .wire = m_wire, .dialer = running->serverPath.get()});
+    running->host->start();
+    m_hosts.push_back(std::move(running));
+}
+
+auto EntryFleet::awaitHosts() -> void
+{
+    until([this] {
+        return std::ranges::all_of(m_hosts, [this](const auto& running) {
+            return running->host->isReady() && running->host->reachableHostCount() >= static_cast<int>(m_hosts.size());
+        });
     });
 }
 
@@ -97,11 +113,12 @@
                        version, rate, rate);
 }
 
-auto EntryFleet::putEngine(const std::string& id, const std::string& address, const std::string& state) -> void
+auto EntryFleet::putEngine(const std::string& id, const std::string& address, const std::string& state, const std::string& version) -> void
 {
-    m_store.put("servers", id,
-                fmt::format(R"({{"service":"engines","address":"{}","zone":"a","slots":4,"state":"{}","cold_left_ms":0,"born":1}})",
-                            address, state));
+    m_store.put(
+        "servers", id,
+        fmt::format(R"({{"service":"engines","address":"{}","zone":"a","slots":4,"state":"{}","cold_left_ms":0,"born":1,"version":"{}"}})",
+                    address, state, version));
 }
 
 auto EntryFleet::until(const std::function<bool()>& condition) -> bool
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -23,9 +23,12 @@
 {
 public:
     /// One host for each of `dataCentres`.
-    explicit EntryFleet(const std::vector<std::string>& dataCentres);
+    explicit EntryFleet(const std::vector<std::string>& dataCentres, bool offersRollouts = false);
     ~EntryFleet();
 
+    /// Starts one more host and waits until all know each other.
+    auto addHost(const std::string& dataCentre) -> void;
+
     auto store() -> StoreStandIn& { return m_store; }
     auto engine() -> EngineStandIn& { return m_engine; }
     auto context() -> asio::io_context& { return m_context; }
@@ -33,6 +36,9 @@
     auto serverPath(std::size_t host) -> ServerPathStandIn& { return *m_hosts[host]->serverPath; }
     auto host(std::size_t index) -> serving::EntryHost& { return *m_hosts[index]->host; }
 
+    /// Whether a host cannot reach the store by itself.
+    auto setCutOffFromStore(std::size_t host, bool isCutOff) -> void { m_store.setCutOff(m_hosts[host]->storeEndpoint, isCutOff); }
+
     /// Runs everything until `condition`; false where it did not come true in ten seconds.
     auto until(const std::function<bool()>& condition) -> bool;
 
@@ -63,14 +69,17 @@
     /// streams may be resumed, one of calls that may repeat, one of calls that may not.
     static auto configuration(int version, double rate) -> std::string;
 
-    auto putEngine(const std::string& id, const std::string& address, const std::string& state) -> void;
+    auto putEngine(const std::string& id, const std::string& address, const std::string& state, const std::string& version = {}) -> void;
 
 private:
+    auto startHost(const std::string& dataCentre, bool offersRollouts) -> void;
+    auto awaitHosts() -> void;
     auto sendRawTo(const asio::ip::tcp::endpoint& endpoint, const std::string& bytes) -> std::string;
 
     struct Running
     {
         serving::HostSettings settings;
+        asio::ip::tcp::endpoint storeEndpoint;
         std::unique_ptr<framework::Metrics> metrics;
         std::unique_ptr<platform::HttpStore> store;
         std::unique_ptr<ServerPathStandIn> serverPath;
--- a/testing/standins/storestandin.cpp
+++ b/testing/standins/storestandin.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace laburnummill::testing {
@@ -28,6 +29,16 @@
     return text;
 }
 
+auto plainOf64(const std::string& text) -> std::string
+{
+    auto bytes = std::string(text.size() / 4 * 3, '\0');
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()),
+                    static_cast<int>(text.size()));
+    const auto padding = std::ranges::count(text, '=');
+    bytes.resize(bytes.size() - static_cast<std::size_t>(padding));
+    return bytes;
+}
+
 auto plain(std::string_view text) -> std::string
 {
     auto decoded = std::string();
@@ -72,7 +83,25 @@
     , m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     , m_changed(context.get_executor())
 {
-    asio::co_spawn(m_context, accept(), asio::detached);
+    asio::co_spawn(m_context, accept(m_acceptor), asio::detached);
+}
+
+auto StoreStandIn::addEndpoint() -> asio::ip::tcp::endpoint
+{
+    auto& acceptor =
+        m_furtherAcceptors.emplace_back(m_context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), std::uint16_t{0}));
+    asio::co_spawn(m_context, accept(acceptor), asio::detached);
+    return acceptor.local_endpoint();
+}
+
+auto StoreStandIn::setCutOff(const asio::ip::tcp::endpoint& endpoint, bool isCutOff) -> void
+{
+    if (isCutOff) {
+        m_cutOffPorts.insert(endpoint.port());
+    } else {
+        m_cutOffPorts.erase(endpoint.port());
+    }
+    m_changed.notify();
 }
 
 auto StoreStandIn::setFault(StoreFault fault) -> void
@@ -99,10 +128,16 @@
         std::ranges::count_if(m_rows, [&table](const auto& entry) { return entry.first.table == table && !entry.second.isRemoved; }));
 }
 
-auto StoreStandIn::accept() -> asio::awaitable<void>
+auto StoreStandIn::value(const std::string& table, const std::string& key) const -> std::string
+{
+    const auto found = m_rows.find({table, {}, key});
+    return found == m_rows.end() || found->second.isRemoved ? std::string() : plainOf64(found->second.value);
+}
+
+auto StoreStandIn::accept(asio::ip::tcp::acceptor& acceptor) -> asio::awaitable<void>
 {
     while (true) {
-        auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
         asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
     }
 }
@@ -110,6 +145,8 @@
 auto StoreStandIn::serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>
 {
     auto buffer = boost::beast::flat_buffer();
+    auto ignored = boost::system::error_code();
+    const auto port = socket.local_endpoint(ignored).port();
     while (true) {
         auto request = http::request<http::string_body>();
         auto error = boost::system::error_code();
@@ -117,6 +154,9 @@
         if (error) {
             co_return;
         }
+        if (m_cutOffPorts.contains(port)) {
+            co_return;
+        }
         ++m_calls;
         const auto target = std::string(request.target());
         const auto mark = target.find('?');
@@ -134,6 +174,9 @@
             auto pause = asio::steady_timer(m_context, std::chrono::hours(1));
             co_await pause.async_wait(asio::use_awaitable);
         }
+        if (m_cutOffPorts.contains(port)) {
+            co_return;
+        }
         if (m_fault == StoreFault::LostAnswer && request.method() == http::verb::post) {
             co_return;
         }
--- a/testing/standins/storestandin.h
+++ b/testing/standins/storestandin.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +33,12 @@
 
     auto endpoint() const -> asio::ip::tcp::endpoint { return m_acceptor.local_endpoint(); }
 
+    /// An address of its own for one client.
+    auto addEndpoint() -> asio::ip::tcp::endpoint;
+
+    /// Whether calls at an address of addEndpoint() end without an answer and without effect.
+    auto setCutOff(const asio::ip::tcp::endpoint& endpoint, bool isCutOff) -> void;
+
     /// Calls that the store holds for changes meet the fault as well.
     auto setFault(StoreFault fault) -> void;
     auto fault() const -> StoreFault { return m_fault; }
@@ -44,6 +51,8 @@
     auto remove(const std::string& table, const std::string& key) -> void;
 
     auto rows(const std::string& table) const -> std::size_t;
+    /// Empty if there is no such row.
+    auto value(const std::string& table, const std::string& key) const -> std::string;
     auto transactions() const -> int { return m_transactions; }
     auto calls() const -> int { return m_calls; }
 
@@ -66,7 +75,7 @@
 
     using Query = std::map<std::string, std::string>;
 
-    auto accept() -> asio::awaitable<void>;
+    auto accept(asio::ip::tcp::acceptor& acceptor) -> asio::awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto answer(const std::string& path, const Query& query, const std::string& body)
         -> asio::awaitable<std::pair<unsigned, framework::Json>>;
@@ -77,6 +86,8 @@
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
+    std::list<asio::ip::tcp::acceptor> m_furtherAcceptors;
+    std::set<std::uint16_t> m_cutOffPorts;
     framework::Signal m_changed;
     std::map<Key, Value> m_rows;
     std::uint64_t m_version = 1;
