Health probes use connections of their own

Callers saw: a refusal in place of the answer, after a server had sent a second copy of an earlier answer. Cause: a probe's response has no request id. On a connection shared with requests, a late response to an earlier request was taken for the probe's, and the probe's own response was left for the next request. Fix: the pool keeps connections for probes apart, so that neither can be met on the other's connection.

--- a/src/serving/backendconnectionpool.cpp
+++ b/src/serving/backendconnectionpool.cpp
@@ -44,22 +44,28 @@
     , m_clock(clock)
 {}
 
-auto BackendConnectionPool::acquire(const backends::BackendPtr& backend, CancellationPtr cancellation) -> Async<BackendConnectionPtr>
+auto BackendConnectionPool::acquire(const backends::BackendPtr& backend, ConnectionUse use, CancellationPtr cancellation)
+    -> Async<BackendConnectionPtr>
 {
     auto& pool = m_pools[backend.get()];
     if (pool.backend.lock() != backend) {
-        pool = ServerPool{.backend = backend, .connections = {}, .idleTimeBeforeReset = {}};
+        pool = ServerPool{.backend = backend, .connections = {}, .probeConnections = {}, .idleTimeBeforeReset = {}};
     }
-    while (!pool.connections.empty()) {
-        auto connection = std::move(pool.connections.back());
-        pool.connections.pop_back();
+    auto& idle = use == ConnectionUse::Probes ? pool.probeConnections : pool.connections;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
         backend->idleConnections = static_cast<int>(pool.connections.size());
         if (isReusable(*connection)) {
             connection->idleTime = std::chrono::duration_cast<Milliseconds>(m_clock.now() - connection->idleSince);
             co_return connection;
         }
     }
-    co_return co_await connect(backend, std::move(cancellation));
+    auto connection = co_await connect(backend, std::move(cancellation));
+    if (connection) {
+        connection->use = use;
+    }
+    co_return connection;
 }
 
 auto BackendConnectionPool::release(const backends::BackendPtr& backend, BackendConnectionPtr connection) -> void
@@ -69,7 +75,8 @@
         return;
     }
     connection->idleSince = m_clock.now();
-    pool->second.connections.push_back(std::move(connection));
+    auto& idle = connection->use == ConnectionUse::Probes ? pool->second.probeConnections : pool->second.connections;
+    idle.push_back(std::move(connection));
     backend->idleConnections = static_cast<int>(pool->second.connections.size());
 }
 
@@ -81,7 +88,9 @@
             entry = m_pools.erase(entry);
             continue;
         }
-        std::erase_if(entry->second.connections, [this](const auto& connection) { return !isReusable(*connection); });
+        const auto isExpired = [this](const auto& connection) { return !isReusable(*connection); };
+        std::erase_if(entry->second.connections, isExpired);
+        std::erase_if(entry->second.probeConnections, isExpired);
         backend->idleConnections = static_cast<int>(entry->second.connections.size());
         ++entry;
     }
--- a/src/serving/backendconnectionpool.h
+++ b/src/serving/backendconnectionpool.h
@@ -15,6 +15,14 @@
 
 namespace laburnummill::serving {
 
+/// What a connection to a backend server carries. A probe's response has no request id, so that it could not be told from a late
+/// response to a request on the same connection.
+enum class ConnectionUse
+{
+    Requests,
+    Probes,
+};
+
 /// A connection to one incarnation of a backend server. It carries one request at a time.
 struct BackendConnection
 {
@@ -26,6 +34,7 @@
     boost::beast::flat_buffer buffer;
     framework::Milliseconds idleTimeout{0}; ///< as stated by the server; 0 if it states none
     framework::Instant idleSince{};
+    ConnectionUse use = ConnectionUse::Requests;
     std::string relay;                   ///< address of the host through which it leads; empty if it is direct
     int requests = 0;                    ///< number of requests sent on it
     framework::Milliseconds idleTime{0}; ///< how long it was idle before the current request
@@ -40,7 +49,8 @@
     BackendConnectionPool(ServerConnector& connector, const framework::IClock& clock);
 
     /// Returns a pooled connection that is still open, or a new one. Returns null if connecting fails or is cancelled.
-    auto acquire(const backends::BackendPtr& backend, framework::CancellationPtr cancellation) -> framework::Async<BackendConnectionPtr>;
+    auto acquire(const backends::BackendPtr& backend, ConnectionUse use, framework::CancellationPtr cancellation)
+        -> framework::Async<BackendConnectionPtr>;
 
     /// Returns a connection to the pool; its response must have been read completely.
     auto release(const backends::BackendPtr& backend, BackendConnectionPtr connection) -> void;
@@ -69,7 +79,8 @@
     struct ServerPool
     {
         std::weak_ptr<backends::Backend> backend;
-        std::deque<BackendConnectionPtr> connections;   ///< most recently used at the back
+        std::deque<BackendConnectionPtr> connections; ///< for requests; most recently used at the back
+        std::deque<BackendConnectionPtr> probeConnections;
         framework::Milliseconds idleTimeBeforeReset{0}; ///< of the last reset connection; 0 once the server accepts a new one
     };
 
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto s_leaveHeader = "Server-Leaving: 1\r\n";
+constexpr auto s_dripInterval = std::chrono::milliseconds(50);
+constexpr auto s_healthTime = std::chrono::milliseconds(10);
 
 auto whole(const std::string& id, unsigned status, const std::string& headers, const std::string& body) -> std::string
 {
@@ -23,7 +25,7 @@
 auto breaksStreamsOff(EngineFault fault) -> bool
 {
     return fault == EngineFault::BreakOff || fault == EngineFault::BreakInside || fault == EngineFault::EndInside ||
-           fault == EngineFault::Reset || fault == EngineFault::Stall;
+           fault == EngineFault::Reset || fault == EngineFault::Stall || fault == EngineFault::Drip;
 }
 
 auto reset(asio::ip::tcp::socket& socket) -> void
@@ -73,20 +75,37 @@
         auto error = boost::system::error_code();
         co_await http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            co_return;
+            break;
         }
         if (std::chrono::steady_clock::now() > restsSince + m_forgetsAfter) {
             reset(socket);
-            co_return;
+            break;
         }
+        co_await sendLateAnswer(socket);
         isOpen = co_await respond(socket, request);
         restsSince = std::chrono::steady_clock::now();
     }
+    m_lastAnswers.erase(&socket);
+}
+
+auto EngineStandIn::sendLateAnswer(asio::ip::tcp::socket& socket) -> asio::awaitable<void>
+{
+    const auto last = m_lastAnswers.find(&socket);
+    if (last != m_lastAnswers.end() && m_fault == EngineFault::LateCopy) {
+        co_await write(socket, last->second);
+    } else if (last != m_lastAnswers.end() && m_fault == EngineFault::LateRefusal) {
+        co_await write(socket, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
 }
 
 auto EngineStandIn::respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>
 {
     const auto id = std::string(request["Request-Id"]);
+    if (request.target() == "/health") {
+        auto timer = asio::steady_timer(m_context, s_healthTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return co_await write(socket, "HTTP/1.1 200 OK\r\n" + m_load + "Content-Length: 0\r\n\r\n");
+    }
     if (m_fault == EngineFault::NotRun) {
         co_return co_await write(socket, answer(id, 503, "Not-Executed: 1\r\n", "")) && !m_isLeaving;
     }
@@ -169,12 +188,20 @@
     if (m_fault == EngineFault::Stall) {
         co_await waitUntilClosed(socket);
     }
+    if (m_fault == EngineFault::Drip) {
+        auto timer = asio::steady_timer(m_context);
+        while (co_await write(socket, frame("x"))) {
+            timer.expires_after(s_dripInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        ++m_leftEarly;
+    }
 }
 
 auto EngineStandIn::ownHeaders() const -> std::string
 {
     const auto limit = m_limit.empty() ? std::string() : "Server-Limit: " + m_limit + "\r\n";
-    return limit + (m_isLeaving ? std::string(s_leaveHeader) + "Connection: close\r\n" : std::string());
+    return m_load + limit + (m_isLeaving ? std::string(s_leaveHeader) + "Connection: close\r\n" : std::string());
 }
 
 auto EngineStandIn::answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string
@@ -243,6 +270,9 @@
 
 auto EngineStandIn::write(asio::ip::tcp::socket& socket, std::string text) -> asio::awaitable<bool>
 {
+    if (text.starts_with("HTTP/1.1 ")) {
+        m_lastAnswers[&socket] = text;
+    }
     auto error = boost::system::error_code();
     co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
     Stall,       ///< the stream stops before its last event, its connection stays open
     Unsigned,    ///< a success without a signature
     Hang,        ///< no answer
+    Drip,        ///< the stream's last event never ends, and a byte of it is sent every 50 ms
+    LateCopy,    ///< a second copy of the connection's last answer stands before the right one
+    LateRefusal, ///< a 503 with Not-Executed and without an id stands before the right answer on a reused connection
 };
 
 /// What marks the end of an answer's body.
@@ -92,6 +96,12 @@
     /// From now on every answer states this limit, in requests per second; empty for none.
     auto setLimit(std::string perSecond) -> void { m_limit = std::move(perSecond); }
 
+    /// From now on every answer states this load, and that it comes from `instance`.
+    auto setLoad(const std::string& instance, const std::string& load) -> void
+    {
+        m_load = "Instance-Id: " + instance + "\r\nServer-Load: " + load + "\r\n";
+    }
+
     /// Whether the answers to other requests of EngineFault::Stray say that the server leaves.
     auto setStrayLeaving(bool isLeaving) -> void { m_isStrayLeaving = isLeaving; }
 
@@ -112,6 +122,7 @@
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto respond(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
     auto answerPlain(asio::ip::tcp::socket& socket, const http::request<http::string_body>& request) -> asio::awaitable<bool>;
+    auto sendLateAnswer(asio::ip::tcp::socket& socket) -> asio::awaitable<void>;
     auto breakOff(asio::ip::tcp::socket& socket, const std::string& event) -> asio::awaitable<void>;
     auto frame(const std::string& data) const -> std::string;
     auto answer(const std::string& id, unsigned status, const std::string& headers, const std::string& body) const -> std::string;
@@ -132,6 +143,8 @@
     bool m_isLeaving = false;
     bool m_isStrayLeaving = false;
     std::string m_limit;
+    std::string m_load;
+    std::map<asio::ip::tcp::socket*, std::string> m_lastAnswers; ///< of open connections; of a stream its header
     std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
     std::vector<http::request<http::string_body>> m_requests;
     std::size_t m_endlessBytes = 0;
