A response without an id on a reused connection proves nothing

Callers saw: a request that may run only once ran at two servers. Cause: a response without a request id was taken for that to the current request. A late 503 with Not-Executed to an earlier request made the host send the request to another server while it ran. Fix: on a connection that carried an earlier request such a response ends the attempt with an unknown result and closes the connection. On a new connection nothing else can have been meant, as before. Evidence: aLateRefusalWithoutAnIdDoesNotMakeARequestRunTwice fails before (200 from the second server) and passes now. Cost: a server that omits the id in refusals on reused connections is no longer retried for requests that may run only once.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -183,8 +183,8 @@
     result.sentAt = m_clock.now();
     const auto isSent = co_await send(*connection, request, target);
     const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
-    result.isClosedImmediately =
-        result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
+    result.isClosedImmediately = result.outcome == AttemptOutcome::Lost && result.head.result_int() == 0 &&
+                                 connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
     const auto isSilent = result.head.result_int() == 0 && connection->buffer.size() == 0 && m_clock.now() >= result.sentAt + s_silence;
     if (isSilent) {
         m_connections.reportSilence(*backend, *connection);
@@ -287,6 +287,9 @@
             continue;
         }
         result.head = head;
+        if (metadata.requestId.empty() && connection.requests > 1) {
+            co_return false; // It may be a late response to an earlier request, so that it does not tell whether this one ran.
+        }
         result.metadata = metadata;
         result.framing = framingOf(parser);
         if (isFromExpectedServer(head, metadata, request)) {
