A request is not sent again on the connection that carried its id

Callers saw: 503 "not run" for a repeated request that ran. Cause: a late copy of the refusal of its first attempt has the same id and arrived on the same connection. Fix: a connection remembers the ids of its last 16 requests and is not reused for one of them. Evidence: aLateCopyOfARefusalIsNotTakenForTheAnswerToARequestSentAgain fails before (503) and passes now.

--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -160,7 +160,7 @@
     result.memory = ResponseMemory::Share(m_memory);
     result.head.result(0U); // 0 means that no response header was read.
     const auto startedAt = m_clock.now();
-    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Requests, cancellation);
+    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Requests, request.id, cancellation);
     if (!connection) {
         result.outcome = cancellation->cancelled() ? AttemptOutcome::CancelledUnsent : AttemptOutcome::NotSent;
         co_return result;
@@ -203,7 +203,7 @@
 
 auto BackendClient::probe(const backends::BackendPtr& backend, const std::string& healthPath, CancellationPtr cancellation) -> Async<bool>
 {
-    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Probes, cancellation);
+    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Probes, {}, cancellation);
     if (!connection || !connection->socket.is_open()) {
         co_return false;
     }
--- a/src/serving/backendconnectionpool.cpp
+++ b/src/serving/backendconnectionpool.cpp
@@ -1,7 +1,10 @@
 #include "serving/backendconnectionpool.h"
 
+#include "framework/global/digest.h"
 #include "framework/logging/log.h"
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -29,6 +32,20 @@
 /// If sent data is not acknowledged within this time, the network path is considered broken.
 constexpr auto s_tcpUserTimeoutMilliseconds = 1'500;
 
+/// A late response follows those to at most a few further requests.
+constexpr auto s_rememberedRequests = std::size_t{16};
+
+auto recordRequestId(BackendConnection& connection, std::uint64_t idHash) -> void
+{
+    if (connection.use == ConnectionUse::Probes) {
+        return; // They have none.
+    }
+    connection.requestIds.push_back(idHash);
+    if (connection.requestIds.size() > s_rememberedRequests) {
+        connection.requestIds.pop_front();
+    }
+}
+
 /// Whether the connection is open and has no unread data. Unrequested data cannot belong to the next request.
 auto isIdle(int descriptor) -> bool
 {
@@ -44,19 +61,21 @@
     , m_clock(clock)
 {}
 
-auto BackendConnectionPool::acquire(const backends::BackendPtr& backend, ConnectionUse use, CancellationPtr cancellation)
-    -> Async<BackendConnectionPtr>
+auto BackendConnectionPool::acquire(const backends::BackendPtr& backend, ConnectionUse use, std::string requestId,
+                                    CancellationPtr cancellation) -> Async<BackendConnectionPtr>
 {
     auto& pool = m_pools[backend.get()];
     if (pool.backend.lock() != backend) {
         pool = ServerPool{.backend = backend, .connections = {}, .probeConnections = {}, .idleTimeBeforeReset = {}};
     }
+    const auto idHash = framework::hash64(requestId);
     auto& idle = use == ConnectionUse::Probes ? pool.probeConnections : pool.connections;
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
         backend->idleConnections = static_cast<int>(pool.connections.size());
-        if (isReusable(*connection)) {
+        if (isReusable(*connection) && std::ranges::find(connection->requestIds, idHash) == connection->requestIds.end()) {
+            recordRequestId(*connection, idHash);
             connection->idleTime = std::chrono::duration_cast<Milliseconds>(m_clock.now() - connection->idleSince);
             co_return connection;
         }
@@ -64,6 +83,7 @@
     auto connection = co_await connect(backend, std::move(cancellation));
     if (connection) {
         connection->use = use;
+        recordRequestId(*connection, idHash);
     }
     co_return connection;
 }
--- a/src/serving/backendconnectionpool.h
+++ b/src/serving/backendconnectionpool.h
@@ -35,9 +35,10 @@
     framework::Milliseconds idleTimeout{0}; ///< as stated by the server; 0 if it states none
     framework::Instant idleSince{};
     ConnectionUse use = ConnectionUse::Requests;
-    std::string relay;                   ///< address of the host through which it leads; empty if it is direct
-    int requests = 0;                    ///< number of requests sent on it
-    framework::Milliseconds idleTime{0}; ///< how long it was idle before the current request
+    std::string relay;                    ///< address of the host through which it leads; empty if it is direct
+    int requests = 0;                     ///< number of requests sent on it
+    std::deque<std::uint64_t> requestIds; ///< hashes of the last ones sent on it
+    framework::Milliseconds idleTime{0};  ///< how long it was idle before the current request
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
@@ -49,7 +50,8 @@
     BackendConnectionPool(ServerConnector& connector, const framework::IClock& clock);
 
     /// Returns a pooled connection that is still open, or a new one. Returns null if connecting fails or is cancelled.
-    auto acquire(const backends::BackendPtr& backend, ConnectionUse use, framework::CancellationPtr cancellation)
+    /// A connection that carried a request with the same id is not returned: late responses to that one look like its own.
+    auto acquire(const backends::BackendPtr& backend, ConnectionUse use, std::string requestId, framework::CancellationPtr cancellation)
         -> framework::Async<BackendConnectionPtr>;
 
     /// Returns a connection to the pool; its response must have been read completely.
