Only complete events count as progress of a stream

Callers saw: a resumable stream that stalled until its route's timeout and then broke off, although another server was free. Cause: any byte postponed the time at which a run is given up, also a byte of an event that never ends. Fix: the time is postponed, and the first event measured, when an event is complete. Evidence: anotherServerGoesOnWhereAStalledStreamSendsAByteNowAndThen fails before (broken off) and passes now. A stalled turn that may not run again ends at its route's timeout, as before; a test shows it.

--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -81,6 +81,8 @@
 
 private:
     auto forward(std::string_view bytes) -> framework::Async<bool>;
+    /// Notes that at least one complete event has arrived. Other bytes are no progress: a stalled server may send some, too.
+    auto recordEvent() -> void;
     auto admit() -> std::optional<Refusal>;
     auto checkShutdown() const -> std::optional<Refusal>;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
@@ -172,9 +174,9 @@
     int m_eventsBeforeAttempt = 0;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
-    std::optional<backends::AwaitedAnswer> m_awaited; ///< of the current attempt, until the first data of its response arrives
+    std::optional<backends::AwaitedAnswer> m_awaited; ///< of the current attempt, until the first event of its response is complete
     framework::Instant m_attemptStartedAt{};
-    framework::Instant m_progressDeadline{}; ///< an attempt without further data until then is overdue
+    framework::Instant m_progressDeadline{}; ///< an attempt without a further complete event until then is overdue
     int m_attempts = 0;
     framework::Json m_attemptLog = framework::Json::array();
     framework::Json m_phases = framework::Json::object(); ///< duration of each phase, in milliseconds
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -182,9 +182,6 @@
 
 auto RequestHandler::onChunk(std::string_view bytes) -> Async<bool>
 {
-    const auto now = m_context.clock.now();
-    m_progressDeadline = now + stallTimeout();
-    m_awaited.reset();
     if (!m_continuation) {
         co_return co_await forward(bytes);
     }
@@ -202,20 +199,30 @@
 
 auto RequestHandler::forward(std::string_view bytes) -> Async<bool>
 {
+    const auto eventsBefore = m_events.events();
     m_events.feed(bytes);
     const auto tokens = static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent();
     if (m_reservedTokens > 0 && m_reservedTokens < m_request.turn.maxTokens && tokens > m_reservedTokens) {
         m_isOverGrant = true;
         co_return false; // The tokens granted while the store is unreachable are used up.
     }
+    if (m_events.events() > eventsBefore) {
+        recordEvent();
+    }
+    co_return co_await m_response.sendChunk(bytes);
+}
+
+auto RequestHandler::recordEvent() -> void
+{
+    m_awaited.reset();
     m_lastEventAt = m_context.clock.now();
+    m_progressDeadline = m_lastEventAt + stallTimeout();
     if (m_firstEventAt < m_attemptStartedAt) {
         m_firstEventAt = m_lastEventAt;
         const auto wait = std::chrono::duration<double, std::milli>(m_firstEventAt - m_attemptStartedAt).count();
         m_context.latencies.record(firstEventLatencyKind(), wait);
         m_context.metrics.record("first_event_ms", std::chrono::duration<double, std::milli>(m_lastEventAt - m_request.arrivedAt).count());
     }
-    co_return co_await m_response.sendChunk(bytes);
 }
 
 } // namespace laburnummill::serving
