Comments in a resumable stream do not break its run off

Callers would see: a slow but healthy resumable stream cut off when its server keeps it open with comments. Cause: a block of comments followed by a blank line was taken for an event without an id. Fix: such a block is passed on and is no event. Evidence: commentsOfASlowRunDoNotBreakItOff fails on the code before and passes now.

--- a/src/serving/streamcontinuation.cpp
+++ b/src/serving/streamcontinuation.cpp
@@ -46,6 +46,19 @@
     return id;
 }
 
+/// Whether the text consists of comments and blank lines only.
+auto isComment(std::string_view text) -> bool
+{
+    auto isLineStart = true;
+    for (const auto character : text) {
+        if (isLineStart && character != ':' && character != '\r' && character != '\n') {
+            return false;
+        }
+        isLineStart = character == '\n';
+    }
+    return true;
+}
+
 } // namespace
 
 auto StreamContinuation::beginRun() -> void
@@ -80,6 +93,9 @@
 
 auto StreamContinuation::accept(std::string_view event) -> bool
 {
+    if (isComment(event)) {
+        return true; // Servers keep a slow stream's connection open with them.
+    }
     const auto id = idOf(event);
     if (!id) {
         m_fault = ContinuationFault::NoEventId;
--- a/src/serving/tests/streamcontinuationtest.cpp
+++ b/src/serving/tests/streamcontinuationtest.cpp
@@ -112,6 +112,14 @@
     }
 }
 
+TEST(StreamContinuation, commentsOfASlowRunDoNotBreakItOff)
+{
+    CHECK_EQUAL(": wait\n\n" + event(1), stream.feed(": wait\n\n" + event(1)));
+    CHECK_EQUAL(std::string(":\r\n\r\n") + event(2), stream.feed(std::string(":\r\n\r\n") + event(2)));
+    CHECK_FALSE(stream.fault().has_value());
+    CHECK_EQUAL(2U, *stream.lastEvent());
+}
+
 TEST(StreamContinuation, bytesAfterTheLastEventOfACompleteResponseAreKept)
 {
     CHECK_EQUAL(event(1), stream.feed(event(1) + ": end"));
