A stopping host waits for the first request of a new connection

Callers saw: a connection closed without an answer when they had just connected to a stopping host. Cause: a connection without a request counted as idle from its first moment. Fix: a connection younger than 200 ms that has carried no request is not closed, and the host waits for it. The end of the grace period still bounds the stop.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -23,6 +23,9 @@
 /// After a request was refused unread, time for which the caller may keep sending before the connection is closed.
 constexpr auto s_lingerTime = Milliseconds(500);
 
+/// Callers send their first request within milliseconds of connecting; the rest allows for busy machines.
+constexpr auto s_firstRequestTime = Milliseconds(200);
+
 auto isClosedByPeer(int descriptor) -> bool
 {
     auto byte = char{0};
@@ -62,6 +65,7 @@
     , m_context(context)
     , m_timer(m_socket.get_executor())
     , m_callerDisconnect(std::make_shared<framework::Cancellation>())
+    , m_acceptedAt(context.servingContext.clock.now())
 {}
 
 auto CallerConnection::run() -> Async<void>
@@ -73,6 +77,7 @@
         }
         // The request counts from its first byte on. Otherwise a stopping host would close the connection while it is read.
         m_isBusy = true;
+        m_hasReadRequest = true;
         ++m_context.openRequests;
         auto request = co_await readRequest();
         if (request) {
@@ -102,6 +107,11 @@
     return true;
 }
 
+auto CallerConnection::isFirstRequestLikely() const -> bool
+{
+    return m_socket.is_open() && !m_hasReadRequest && m_context.servingContext.clock.now() < m_acceptedAt + s_firstRequestTime;
+}
+
 auto CallerConnection::limits() const -> routing::CallerLimits
 {
     const auto& routes = m_context.servingContext.fleetState.routes();
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -33,6 +33,9 @@
     /// Closes the connection unless a request is in progress or has arrived. Returns whether the connection is closed.
     auto closeIfIdle() -> bool;
 
+    /// Whether the first request on the connection may be on its way: callers connect in order to send one at once.
+    auto isFirstRequestLikely() const -> bool;
+
     auto sendRefusal(Refusal refusal, std::optional<framework::Milliseconds> retryAfter) -> framework::Async<void> override;
     auto sendWhole(const http::response_header<>& head, std::string body) -> framework::Async<bool> override;
     auto beginStream(const http::response_header<>& head) -> framework::Async<bool> override;
@@ -64,10 +67,12 @@
     boost::beast::flat_buffer m_buffer;
     framework::asio::steady_timer m_timer;
     framework::CancellationPtr m_callerDisconnect;
+    framework::Instant m_acceptedAt;
     std::string m_requestId;
     std::string m_pendingHead; ///< response header, written together with the first chunk
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
+    bool m_hasReadRequest = false;
     bool m_isBusy = false;
     bool m_hasStarted = false;
     bool m_isBroken = false;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -317,7 +317,7 @@
     auto areAllClosed = true;
     for (const auto& weak : m_callers) {
         const auto caller = weak.lock();
-        areAllClosed = (!caller || caller->closeIfIdle()) && areAllClosed;
+        areAllClosed = (!caller || (!caller->isFirstRequestLikely() && caller->closeIfIdle())) && areAllClosed;
     }
     return areAllClosed;
 }
