A caller that takes nothing of its response is disconnected

Seen at the host: a request stayed open for ever when its caller stopped reading, and a server's stream with it. Cause: writing to a caller had no bound, and a request's deadline does not end a write. Fix: a connection whose write has made no progress for the configured idle timeout is closed. Evidence: aCallerThatStopsReadingIsDisconnected fails without the check (still open after 10 s) and passes with it.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
@@ -112,6 +111,14 @@
     return m_socket.is_open() && !m_hasReadRequest && m_context.servingContext.clock.now() < m_acceptedAt + s_firstRequestTime;
 }
 
+auto CallerConnection::closeIfStalled() -> void
+{
+    if (m_writingSince && m_context.servingContext.clock.now() >= *m_writingSince + limits().idleTimeout) {
+        auto ignored = boost::system::error_code();
+        m_socket.close(ignored);
+    }
+}
+
 auto CallerConnection::limits() const -> routing::CallerLimits
 {
     const auto& routes = m_context.servingContext.fleetState.routes();
@@ -314,7 +321,11 @@
 auto CallerConnection::write(std::string text) -> Async<bool>
 {
     auto error = boost::system::error_code();
-    co_await asio::async_write(m_socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    for (auto rest = asio::const_buffer(asio::buffer(text)); !error && rest.size() > 0;) {
+        m_writingSince = m_context.servingContext.clock.now();
+        rest += co_await m_socket.async_write_some(rest, asio::redirect_error(asio::use_awaitable, error));
+    }
+    m_writingSince.reset();
     if (error) {
         m_isBroken = true;
     }
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -36,6 +36,9 @@
     /// Whether the first request on the connection may be on its way: callers connect in order to send one at once.
     auto isFirstRequestLikely() const -> bool;
 
+    /// Closes the connection if its caller has taken no byte of a response for the idle timeout.
+    auto closeIfStalled() -> void;
+
     auto sendRefusal(Refusal refusal, std::optional<framework::Milliseconds> retryAfter) -> framework::Async<void> override;
     auto sendWhole(const http::response_header<>& head, std::string body) -> framework::Async<bool> override;
     auto beginStream(const http::response_header<>& head) -> framework::Async<bool> override;
@@ -68,6 +71,7 @@
     framework::asio::steady_timer m_timer;
     framework::CancellationPtr m_callerDisconnect;
     framework::Instant m_acceptedAt;
+    std::optional<framework::Instant> m_writingSince; ///< since when the current write has made no progress
     std::string m_requestId;
     std::string m_pendingHead; ///< response header, written together with the first chunk
     bool m_keepAlive = true;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -198,6 +198,11 @@
         m_programs.removeExpired();
         m_quarantine.removeExpired(m_clock.now());
         std::erase_if(m_callers, [](const auto& caller) { return caller.expired(); });
+        for (const auto& weak : m_callers) {
+            if (const auto caller = weak.lock()) {
+                caller->closeIfStalled();
+            }
+        }
         if (!m_isFlushing) {
             asio::co_spawn(m_context, flushToStore(), asio::detached);
         }
