--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -160,7 +160,7 @@
     result.memory = ResponseMemory::Share(m_memory);
     result.head.result(0U); // 0 means that no response header was read.
     const auto startedAt = m_clock.now();
-    const auto connection = co_await m_connections.acquire(backend, cancellation);
+    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Requests, request.id, cancellation);
     if (!connection) {
         result.outcome = cancellation->cancelled() ? AttemptOutcome::CancelledUnsent : AttemptOutcome::NotSent;
         co_return result;
@@ -183,8 +183,8 @@
     result.sentAt = m_clock.now();
     const auto isSent = co_await send(*connection, request, target);
     const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
-    result.isClosedImmediately =
-        result.outcome == AttemptOutcome::Lost && connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
+    result.isClosedImmediately = result.outcome == AttemptOutcome::Lost && result.head.result_int() == 0 &&
+                                 connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
     const auto isSilent = result.head.result_int() == 0 && connection->buffer.size() == 0 && m_clock.now() >= result.sentAt + s_silence;
     if (isSilent) {
         m_connections.reportSilence(*backend, *connection);
@@ -203,7 +203,7 @@
 
 auto BackendClient::probe(const backends::BackendPtr& backend, const std::string& healthPath, CancellationPtr cancellation) -> Async<bool>
 {
-    const auto connection = co_await m_connections.acquire(backend, cancellation);
+    const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Probes, {}, cancellation);
     if (!connection || !connection->socket.is_open()) {
         co_return false;
     }
@@ -287,6 +287,9 @@
             continue;
         }
         result.head = head;
+        if (metadata.requestId.empty() && connection.requests > 1) {
+            co_return false; // It may be a late response to an earlier request, so that it does not tell whether this one ran.
+        }
         result.metadata = metadata;
         result.framing = framingOf(parser);
         if (isFromExpectedServer(head, metadata, request)) {
