--- /dev/null
+++ b/src/programs/budgetadvance.cpp
@@ -0,0 +1,196 @@
+#include "programs/budgetledger.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+// Tokens that hosts hold in advance for the next turns of programs, and waits for home hosts that may not answer.
+
+namespace laburnummill::programs {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::Milliseconds;
+
+/// No turn waits for these calls. A host whose call fails counts as unreachable, so that a shorter time-out would move homes that are
+/// only slow.
+constexpr auto s_transferTimeout = Milliseconds(1'300);
+
+} // namespace
+
+auto BudgetLedger::reserveAt(ProgramKey key, std::string address, TokenDemand demand) -> Async<std::optional<Reservation>>
+{
+    if (m_requests == TokenRequests::PerTurn) {
+        co_return co_await reserveAtHome(std::move(key), std::move(address), demand);
+    }
+    struct Call
+    {
+        explicit Call(asio::any_io_executor executor)
+            : ended(std::move(executor))
+        {}
+
+        framework::Signal ended;
+        std::optional<Reservation> reservation;
+        bool hasEnded = false;
+        bool isGivenUp = false;
+    };
+    const auto call = std::make_shared<Call>(m_executor);
+    const auto askedAt = m_clock.now();
+    asio::co_spawn(
+        m_executor,
+        [this, call, key, address, demand, askedAt]() -> Async<void> {
+            call->reservation = co_await reserveAtHome(key, address, demand);
+            call->hasEnded = true;
+            if (call->reservation) {
+                m_homeWait.onAnswered(address, askedAt, m_clock.now());
+            }
+            if (call->isGivenUp && call->reservation) {
+                releaseLate(key, *call->reservation, demand);
+            }
+            call->ended.notify();
+        },
+        asio::detached);
+    if (!call->hasEnded) {
+        co_await call->ended.wait(m_homeWait.limit());
+    }
+    if (!call->hasEnded) {
+        call->isGivenUp = true;
+        m_homeWait.onOverdue(address, askedAt, m_clock.now());
+    }
+    co_return call->reservation;
+}
+
+auto BudgetLedger::releaseLate(const ProgramKey& key, const Reservation& reservation, const TokenDemand& demand) -> void
+{
+    if (reservation.tokens == 0) {
+        return;
+    }
+    const auto program = m_table.program(key);
+    program->holding.settle(reservation.tokens, 0);
+    if (mayHoldInAdvance(*program)) {
+        returnTokens(key, m_advance.hold(key, program->holding.free(), demand.maxTokens, m_clock.now()));
+        program->changed.notify();
+    } else {
+        returnTokens(key, reservation.tokens);
+    }
+}
+
+auto BudgetLedger::mayHoldInAdvance(const Program& program) const -> bool
+{
+    // Tokens that are not in the row return at once: the turns that use them must be replicated with them.
+    return m_requests == TokenRequests::InAdvance && !m_isStopping && !program.hasUnrecordedFromHome && program.unrecordedTokens == 0;
+}
+
+auto BudgetLedger::settleInAdvance(const ProgramKey& key, Program& program, std::uint64_t turnTokens) -> std::uint64_t
+{
+    auto home = m_peers.home(key.program);
+    if (m_homeWait.isSilent(home, m_clock.now())) {
+        // Tokens sent to this host may be lost.
+        m_advance.hold(key, program.holding.free(), turnTokens, m_clock.now());
+        return 0;
+    }
+    const auto plan = m_advance.onTurnEnded(key, program.holding.free(), turnTokens, m_clock.now());
+    if (plan.requested > 0) {
+        asio::co_spawn(m_executor, requestInAdvance(key, std::move(home), plan.requested, turnTokens), asio::detached);
+    }
+    return program.holding.transferOut(plan.returned);
+}
+
+auto BudgetLedger::requestInAdvance(ProgramKey key, std::string home, std::uint64_t tokens, std::uint64_t turnTokens) -> Async<void>
+{
+    auto request = peers::messages::Request();
+    auto& query = *request.mutable_grant_query();
+    query.set_account(key.account);
+    query.set_program(key.program);
+    query.set_tokens(tokens);
+    query.set_holder(m_peers.ownAddress());
+    ++m_openTransfers;
+    const auto response = co_await m_peers.call(home, std::move(request), s_transferTimeout);
+    --m_openTransfers;
+    m_advance.onRequestEnded(key);
+    if (!response) {
+        co_return; // If the home host did transfer the tokens, they count as spent.
+    }
+    m_homeWait.onHeard(home, m_clock.now());
+    const auto program = m_table.program(key);
+    program->holding.transferIn(response.value().granted());
+    program->hasUnrecordedFromHome = program->hasUnrecordedFromHome || (response.value().has_lent() && response.value().granted() > 0);
+    const auto free = program->holding.free();
+    if (!mayHoldInAdvance(*program) || free < turnTokens) {
+        returnTokens(key, free); // Too few for a turn, if the home host has no more.
+    } else {
+        returnTokens(key, m_advance.hold(key, free, turnTokens, m_clock.now()));
+    }
+    program->changed.notify();
+}
+
+auto BudgetLedger::transferInAdvance(const ProgramKey& key, const std::string& holder, std::uint64_t tokens) -> std::uint64_t
+{
+    const auto program = m_table.find(key);
+    if (!program || program->unrecordedTokens > 0 || program->awaitedTokens > 0) {
+        return 0; // Turns that wait come first.
+    }
+    const auto isEnough = program->holding.free() >= tokens;
+    const auto transferred = isEnough ? program->holding.transferOut(tokens) : 0;
+    if (transferred > 0) {
+        program->advanceHolders.insert(holder);
+    }
+    prefetch(key, program, tokens);
+    return transferred;
+}
+
+auto BudgetLedger::prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void
+{
+    if (program->holding.free() < maxTokens && !m_isStoreSlow) {
+        startRefill(key, program, maxTokens);
+    }
+}
+
+auto BudgetLedger::returnTokens(const ProgramKey& key, std::uint64_t tokens) -> void
+{
+    const auto program = m_table.find(key);
+    auto home = m_peers.home(key.program);
+    if (!program || home == m_peers.ownAddress()) {
+        return;
+    }
+    const auto returned = program->holding.transferOut(tokens);
+    if (returned == 0) {
+        return;
+    }
+    auto request = peers::messages::Request();
+    auto& ended = *request.mutable_ended_turn();
+    ended.set_account(key.account);
+    ended.set_program(key.program);
+    ended.set_returned_tokens(returned);
+    ++m_openTransfers;
+    asio::co_spawn(
+        m_executor,
+        [this, home = std::move(home), request = std::move(request)]() mutable -> Async<void> {
+            // If this message is lost, the tokens count as spent.
+            const auto response = co_await m_peers.call(std::move(home), std::move(request), s_transferTimeout);
+            static_cast<void>(response);
+            --m_openTransfers;
+        },
+        asio::detached);
+}
+
+auto BudgetLedger::returnUnused() -> void
+{
+    const auto now = m_clock.now();
+    for (const auto& key : m_advance.takeExpired(m_isStopping ? framework::Instant::max() : now)) {
+        if (!m_isStopping && m_homeWait.isSilent(m_peers.home(key.program), now)) {
+            m_advance.hold(key, 0, 0, now);
+        } else if (const auto program = m_table.find(key)) {
+            returnTokens(key, program->holding.free());
+        }
+    }
+}
+
+auto BudgetLedger::stopHolding() -> void
+{
+    m_isStopping = true;
+    returnUnused();
+}
+
+} // namespace laburnummill::programs
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -43,11 +43,16 @@
     response.set_lent(std::max(unrecordedTokens(key), replicatedTokens));
     if (!query.grantor().empty()) {
         response.set_is_supported(support(*m_table.program(key), query.grantor(), query.grantor_incarnation()));
+    } else if (!query.holder().empty() && !query.may_take_more()) {
+        response.set_granted(transferInAdvance(key, query.holder(), query.tokens()));
     } else if (query.may_take_more()) {
         const auto history = query.is_history_sent_by_caller() ? TurnHistory::SentByCaller : TurnHistory::KeptByHosts;
         const auto reservation = co_await reserveForPeer(
             key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
         response.set_granted(reservation.tokens);
+        if (reservation.tokens > 0 && !query.holder().empty()) {
+            m_table.program(key)->advanceHolders.insert(query.holder());
+        }
         response.set_is_grant_unrecorded(!reservation.isRecorded);
         response.set_budget_outcome(static_cast<std::uint32_t>(reservation.outcome));
     } else {
@@ -92,6 +97,11 @@
         return m_peers.reachableHosts();
     }
     auto addresses = program.isRowKnown ? std::vector<std::string>() : m_peers.replicaHosts(key.program);
+    for (const auto& address : program.advanceHolders) {
+        if (std::ranges::find(addresses, address) == addresses.end()) {
+            addresses.push_back(address);
+        }
+    }
     for (const auto& holding : program.row.holdings()) {
         const auto address = m_peers.addressOf(holding.host(), holding.incarnation());
         if (!address.empty() && std::ranges::find(addresses, address) == addresses.end()) {
@@ -104,7 +114,7 @@
 auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
 {
     auto others = PeerHoldings();
-    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && !mayHaveUnrecordedGrants()) {
+    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && program->advanceHolders.empty() && !mayHaveUnrecordedGrants()) {
         co_return others;
     }
     auto request = peers::messages::Request();
@@ -112,13 +122,17 @@
     query.set_account(key.account);
     query.set_program(key.program);
     query.set_tokens(need);
-    const auto answers = co_await peers::callAll(m_peers, possibleHolders(key, *program), std::move(request), s_queryTimeout,
-                                                 [](const auto&) { return false; });
+    const auto addresses = possibleHolders(key, *program);
+    program->advanceHolders.clear(); // They return what they have.
+    const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout, [](const auto&) { return false; });
     auto unrecordedTokens = std::uint64_t{0};
     auto held = std::uint64_t{0};
     for (const auto& response : answers.responses) {
         program->holding.transferIn(response.granted());
         others.hasRunningTurns = others.hasRunningTurns || response.reserved() > 0;
+        if (m_requests == TokenRequests::InAdvance && response.reserved() > 0) {
+            program->advanceHolders.insert(response.address()); // It may hold what its turns leave.
+        }
         // A host that has already granted tokens remains the grantor; otherwise the grantor is the host with the lowest address
         // among those that have the program.
         const auto isBefore = response.has_lent() != (program->unrecordedTokens > 0)
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -46,12 +46,13 @@
 } // namespace
 
 BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                           const framework::IClock& clock)
+                           const framework::IClock& clock, TokenRequests requests)
     : m_executor(std::move(executor))
     , m_table(table)
     , m_store(store)
     , m_peers(peers)
     , m_clock(clock)
+    , m_requests(requests)
 {}
 
 auto BudgetLedger::reserve(ProgramKey key, TokenDemand demand) -> Async<Reservation>
@@ -61,11 +62,17 @@
     }
     const auto known = m_table.find(key);
     if (known && known->holding.reserve(demand.maxTokens)) {
+        if (m_requests == TokenRequests::InAdvance) {
+            m_advance.onUsed(key);
+            if (m_peers.home(key.program) == m_peers.ownAddress()) {
+                prefetch(key, known, demand.maxTokens);
+            }
+        }
         co_return Reservation{.outcome = BudgetOutcome::Reserved, .tokens = demand.maxTokens};
     }
     const auto home = m_peers.home(key.program);
-    if (home != m_peers.ownAddress()) {
-        const auto atHome = co_await reserveAtHome(key, home, demand);
+    if (home != m_peers.ownAddress() && !m_homeWait.isSilent(home, m_clock.now())) {
+        const auto atHome = co_await reserveAt(key, home, demand);
         if (atHome) {
             co_return *atHome;
         }
@@ -84,6 +91,9 @@
     query.set_is_first_turn(demand.isFirstTurn);
     query.set_is_history_sent_by_caller(demand.history == TurnHistory::SentByCaller);
     query.set_may_take_more(true);
+    if (m_requests == TokenRequests::InAdvance) {
+        query.set_holder(m_peers.ownAddress());
+    }
     const auto response = co_await m_peers.call(std::move(home), std::move(request), s_homeTimeout);
     if (!response) {
         co_return std::nullopt; // If the home host did grant the tokens, it counts them as transferred.
@@ -95,6 +105,7 @@
     if (outcome != BudgetOutcome::Reserved) {
         co_return Reservation{.outcome = outcome, .tokens = 0};
     }
+    program->hasUnrecordedFromHome = program->hasUnrecordedFromHome || response.value().is_grant_unrecorded();
     program->holding.reserve(response.value().granted());
     co_return Reservation{.outcome = outcome, .tokens = response.value().granted(), .isRecorded = !response.value().is_grant_unrecorded()};
 }
@@ -108,9 +119,7 @@
         const auto program = m_table.program(key);
         program->holding.settle(reservation.tokens, 0);
         program->holding.transferOut(reservation.tokens);
-        if (program->holding.free() < demand.maxTokens && !m_isStoreSlow) {
-            startRefill(key, program, demand.maxTokens); // Prefetch for the next turn.
-        }
+        prefetch(key, program, demand.maxTokens);
     }
     co_return reservation;
 }
@@ -146,23 +155,27 @@
         }
         const auto isUnavailable = isStoreUnavailable(key);
         const auto last = m_refills[key].last;
+        const auto freeBefore = program->holding.free();
         if (m_clock.now() >= requeryAt) {
             others = co_await queryPeers(key, program, maxTokens);
             requeryAt = m_clock.now() + s_requeryInterval;
         }
         const auto hasRunningTurns = others.hasRunningTurns || program->holding.reserved() > 0;
-        if (program->holding.free() >= maxTokens) {
+        // Tokens recalled from other hosts may suffice together with those that are left in the row.
+        const auto hasRecalled =
+            m_requests == TokenRequests::InAdvance && last == Refill::Exhausted && program->holding.free() > freeBefore;
+        if (program->holding.free() >= maxTokens || hasRecalled) {
             continue;
         }
         if (isUnavailable && !others.grantor.empty() && !isGrantor) {
             // One host grants tokens for all hosts that reach it.
-            const auto fromGrantor = co_await reserveAtHome(key, others.grantor, demand);
+            const auto fromGrantor = co_await reserveAt(key, others.grantor, demand);
             reservation = fromGrantor.value_or(Reservation());
         } else if (isUnavailable) {
             const auto mayGrant = mayGrantWithoutStore(*program, demand, others);
             const auto supported = mayGrant ? co_await collectSupport(key, program) : std::string();
             if (!supported.empty() && !isGrantor) {
-                const auto fromGrantor = co_await reserveAtHome(key, supported, demand);
+                const auto fromGrantor = co_await reserveAt(key, supported, demand);
                 reservation = fromGrantor.value_or(Reservation());
             } else {
                 reservation = grantWithoutStore(key, *program, demand, others);
@@ -201,6 +214,10 @@
     program->holding.settle(reserved, used);
     program->changed.notify();
     const auto isHome = m_peers.home(key.program) == m_peers.ownAddress();
+    if (!isHome && mayHoldInAdvance(*program)) {
+        return settleInAdvance(key, *program, reserved);
+    }
+    program->hasUnrecordedFromHome = program->hasUnrecordedFromHome && program->holding.reserved() > 0;
     return isHome ? 0 : program->holding.transferOut(program->holding.free());
 }
 
@@ -287,7 +304,10 @@
             continue;
         }
         const auto waiting = std::max(program->awaitedTokens, maxTokens);
-        const auto want = std::min(unclaimedTokens, waiting - std::min(free, waiting) + prefetchSize(*program, unclaimedTokens, maxTokens));
+        // A host that stands in for a silent home claims no more than its turns need: its claim would be lost with it.
+        const auto isStandIn = m_requests == TokenRequests::InAdvance && m_peers.home(key.program) != m_peers.ownAddress();
+        const auto extra = isStandIn ? 0 : prefetchSize(*program, unclaimedTokens, maxTokens);
+        const auto want = std::min(unclaimedTokens, waiting - std::min(free, waiting) + extra);
         m_refills[key].storeCallStartedAt = m_clock.now();
         const auto isWritten = co_await writeRow(key, program, want);
         m_refills[key].storeCallStartedAt.reset();
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/async.h"
 #include "peers/ipeers.h"
+#include "programs/advancetokens.h"
 #include "programs/programtable.h"
 #include "store/istore.h"
 
@@ -37,12 +38,12 @@
 /// that starts during the outage with a large budget and whose history the hosts keep: if all hosts fail, its turns are lost as well.
 /// A program whose history is sent by its caller can go on after such a loss, so that it is never granted more than one turn's worth.
 /// Hosts other than a program's home host reserve tokens through the home host
-/// if they can reach it.
+/// if they can reach it. With TokenRequests::InAdvance, such a host holds up to one turn's tokens for a program's next turn.
 class BudgetLedger
 {
 public:
     BudgetLedger(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                 const framework::IClock& clock);
+                 const framework::IClock& clock, TokenRequests requests = TokenRequests::PerTurn);
 
     /// Reserves the most that a turn may generate.
     auto reserve(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
@@ -64,6 +65,15 @@
     /// Adds tokens that a turn at another host did not use.
     auto acceptReturnedTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
 
+    /// Returns tokens held in advance for which no turn came; called several times a second.
+    auto returnUnused() -> void;
+
+    /// Returns all tokens held in advance and holds none from now on.
+    auto stopHolding() -> void;
+
+    /// Number of requests in advance and returns that the home hosts have not answered yet.
+    auto openTransfers() const -> int { return m_openTransfers; }
+
     /// Writes grants made during a store outage into the rows of their programs; called about once a second.
     auto recordUnrecordedGrants() -> framework::Async<void>;
 
@@ -111,6 +121,18 @@
 
     auto reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> framework::Async<Reservation>;
     auto reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
+    /// Reserves tokens at another host. With requests in advance, the wait is limited to what is usual; tokens that arrive later are
+    /// held for the next turn or returned.
+    auto reserveAt(ProgramKey key, std::string address, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
+    auto releaseLate(const ProgramKey& key, const Reservation& reservation, const TokenDemand& demand) -> void;
+    auto mayHoldInAdvance(const Program& program) const -> bool;
+    /// Returns the number of free tokens to send back after a turn; requests those that the next turn lacks.
+    auto settleInAdvance(const ProgramKey& key, Program& program, std::uint64_t turnTokens) -> std::uint64_t;
+    auto requestInAdvance(ProgramKey key, std::string home, std::uint64_t tokens, std::uint64_t turnTokens) -> framework::Async<void>;
+    auto transferInAdvance(const ProgramKey& key, const std::string& holder, std::uint64_t tokens) -> std::uint64_t;
+    /// Claims tokens for the next turn if too few are free.
+    auto prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
+    auto returnTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
     auto mayHaveUnrecordedGrants() const -> bool;
     auto isStoreUnavailable(const ProgramKey& key) -> bool;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
@@ -140,6 +162,11 @@
     store::IStore& m_store;
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
+    TokenRequests m_requests;
+    AdvanceTokens m_advance;
+    HomeWait m_homeWait;
+    int m_openTransfers = 0;
+    bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
     bool m_isStoreSlow = false;
     std::minstd_rand m_random{std::random_device()()};
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace laburnummill::programs {
 
@@ -30,8 +31,10 @@
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
     std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
     std::uint64_t supportedIncarnation = 0;
-    std::uint64_t supporters = 0;    ///< hosts that support the grants of this host, itself included
-    std::uint64_t awaitedTokens = 0; ///< tokens that waiting turns need
+    std::uint64_t supporters = 0;         ///< hosts that support the grants of this host, itself included
+    std::uint64_t awaitedTokens = 0;      ///< tokens that waiting turns need
+    bool hasUnrecordedFromHome = false;   ///< tokens of the home host on this host may be missing from the row
+    std::set<std::string> advanceHolders; ///< addresses of hosts that may hold tokens of this host, the home
     framework::Instant usedAt{};
     framework::Signal changed;
 };
--- /dev/null
+++ b/src/programs/tests/budgetfleet.h
@@ -0,0 +1,285 @@
+#pragma once
+
+#include "framework/global/systemclock.h"
+#include "programs/budgetledger.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <set>
+
+// Hosts that share one program's budget, with a store and calls between them that can fail.
+
+namespace laburnummill::programs::testing {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::AsyncResult;
+using framework::Instant;
+using framework::Milliseconds;
+using framework::SystemClock;
+
+inline constexpr auto s_budget = std::uint64_t{864};
+inline constexpr auto s_turn = std::uint64_t{288};
+inline constexpr auto s_hostsPerDataCentre = 2;
+inline constexpr auto s_hosts = 3 * s_hostsPerDataCentre;
+
+class SharedStore final : public store::IStore
+{
+public:
+    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        if (transaction.conditions.front().version != m_row.version) {
+            co_return store::TransactionReply{.isApplied = false, .version = m_row.version, .currentRows = {m_row}};
+        }
+        m_row = {.address = transaction.puts.front().address, .value = transaction.puts.front().value, .version = m_row.version + 1};
+        co_return store::TransactionReply{.isApplied = true, .version = m_row.version, .currentRows = {}};
+    }
+
+    auto list(store::ListRequest) -> AsyncResult<store::RowPage> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return store::RowPage{.rows = {m_row}, .version = m_row.version, .hasMore = false};
+    }
+
+    bool isAway = false;
+
+private:
+    store::Row m_row;
+};
+
+/// The system's clock with leaps.
+class LeapingClock final : public framework::IClock
+{
+public:
+    auto now() const -> Instant override { return m_clock.now() + m_leaps; }
+    auto wallTime() const -> framework::WallTime override { return m_clock.wallTime() + m_leaps; }
+    auto leap(Milliseconds time) -> void { m_leaps += time; }
+
+private:
+    SystemClock m_clock;
+    Milliseconds m_leaps{0};
+};
+
+class Fleet;
+
+class FleetPeers final : public peers::IPeers
+{
+public:
+    FleetPeers(const Fleet& fleet, int number, std::uint64_t incarnation)
+        : m_fleet(fleet)
+        , m_number(number)
+        , m_incarnation(incarnation)
+    {}
+
+    auto reachableHosts() const -> std::vector<std::string> override;
+    auto home(std::string_view) const -> std::string override;
+    auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
+    auto storeProxies() const -> std::vector<std::string> override { return {}; }
+    auto isAnyHostUnreachable() const -> bool override;
+    auto mayHaveUnknownTurns() const -> bool override { return false; }
+    auto mayHaveLostGrants() const -> bool override { return false; }
+    auto membershipSize() const -> int override { return s_hosts; }
+    auto mayHaveForgottenSupport() const -> bool override;
+    auto wasStoreImpairedRecently() const -> bool override;
+    auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
+    auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
+    auto ownAddress() const -> std::string override { return std::to_string(m_number); }
+    auto ownIncarnation() const -> std::uint64_t override { return m_incarnation; }
+    auto call(std::string address, peers::messages::Request request, Milliseconds timeout)
+        -> AsyncResult<peers::messages::Response> override;
+
+private:
+    const Fleet& m_fleet;
+    int m_number;
+    std::uint64_t m_incarnation;
+};
+
+struct Host
+{
+    Host(asio::any_io_executor executor, const Fleet& fleet, store::IStore& store, const framework::IClock& clock, int number,
+         std::uint64_t incarnation, TokenRequests requests)
+        : incarnation(incarnation)
+        , peers(fleet, number, incarnation)
+        , table(executor, clock, std::to_string(number), incarnation)
+        , ledger(executor, table, store, peers, clock, requests)
+    {}
+
+    std::uint64_t incarnation;
+    bool hasStoreAnswered = true; ///< since its start
+    FleetPeers peers;
+    ProgramTable table;
+    BudgetLedger ledger;
+};
+
+/// Three data centres with some hosts each.
+class Fleet
+{
+public:
+    explicit Fleet(TokenRequests requests = TokenRequests::PerTurn)
+        : requests(requests)
+    {
+        for (auto number = 0; number < s_hosts; ++number) {
+            hosts.emplace_back(std::make_shared<Host>(context.get_executor(), *this, store, clock, number, 1, requests));
+        }
+    }
+
+    auto mayCall(int from, int to) const -> bool { return group[from] == group[to]; }
+
+    /// Cuts the data centres off from each other.
+    auto cut() -> void { group = {0, 0, 1, 1, 2, 2}; }
+
+    auto restart(int number) -> void
+    {
+        retired.push_back(hosts[number]);
+        const auto incarnation = hosts[number]->incarnation + 1;
+        hosts[number] = std::make_shared<Host>(context.get_executor(), *this, store, clock, number, incarnation, requests);
+        hosts[number]->hasStoreAnswered = !store.isAway;
+    }
+
+    /// One turn that uses `used` of the tokens it was given, by default all.
+    auto turn(int number, TurnHistory history = TurnHistory::SentByCaller, std::uint64_t used = s_budget) -> Async<void>
+    {
+        const auto host = hosts[number];
+        const auto reservation =
+            co_await host->ledger.reserve(key, {.budget = s_budget, .maxTokens = s_turn, .isFirstTurn = false, .history = history});
+        if (reservation.outcome != BudgetOutcome::Reserved) {
+            co_return;
+        }
+        used = std::min(used, reservation.tokens);
+        handedOut += used;
+        ++granted;
+        const auto returned = host->ledger.settle(key, reservation.tokens, used);
+        if (returned > 0) {
+            auto request = peers::messages::Request();
+            request.mutable_ended_turn()->set_returned_tokens(returned);
+            (void)co_await host->peers.call(host->peers.home(key.program), std::move(request), Milliseconds(1'300));
+        }
+    }
+
+    auto start(int number, std::uint64_t used = s_budget) -> void
+    {
+        asio::co_spawn(context, turn(number, TurnHistory::SentByCaller, used), asio::detached);
+    }
+
+    auto run() -> void
+    {
+        context.restart();
+        context.run();
+    }
+
+    auto recordGrants() -> void
+    {
+        for (const auto& host : hosts) {
+            asio::co_spawn(context, host->ledger.recordUnrecordedGrants(), asio::detached);
+            run();
+        }
+    }
+
+    auto setStoreAway(bool isAway) -> void
+    {
+        store.isAway = isAway;
+        for (const auto& host : hosts) {
+            host->hasStoreAnswered = host->hasStoreAnswered || !isAway;
+        }
+    }
+
+    asio::io_context context;
+    LeapingClock clock;
+    SharedStore store;
+    ProgramKey key{.account = "pub", .program = "p1"};
+    std::vector<std::shared_ptr<Host>> hosts;
+    std::vector<std::shared_ptr<Host>> retired;
+    std::array<int, s_hosts> group{};
+    std::uint64_t handedOut = 0;
+    int granted = 0;
+    TokenRequests requests;
+    std::set<int> frozen; ///< hosts that do not answer calls
+    Milliseconds answerDelay{0};
+    mutable int lostAnswers = 0; ///< number of answers from now on that are lost
+    mutable int calls = 0;
+};
+
+inline auto FleetPeers::reachableHosts() const -> std::vector<std::string>
+{
+    auto addresses = std::vector<std::string>();
+    for (auto other = 0; other < s_hosts; ++other) {
+        if (other != m_number && m_fleet.mayCall(m_number, other)) {
+            addresses.push_back(std::to_string(other));
+        }
+    }
+    return addresses;
+}
+
+inline auto FleetPeers::home(std::string_view) const -> std::string
+{
+    return std::to_string(m_number / s_hostsPerDataCentre * s_hostsPerDataCentre);
+}
+
+inline auto FleetPeers::replicaHosts(std::string_view) const -> std::vector<std::string>
+{
+    auto addresses = reachableHosts();
+    addresses.resize(std::min(addresses.size(), std::size_t{2}));
+    return addresses;
+}
+
+inline auto FleetPeers::isAnyHostUnreachable() const -> bool
+{
+    return reachableHosts().size() + 1 < s_hosts;
+}
+
+inline auto FleetPeers::wasStoreImpairedRecently() const -> bool
+{
+    return m_fleet.store.isAway || isAnyHostUnreachable();
+}
+
+inline auto FleetPeers::mayHaveForgottenSupport() const -> bool
+{
+    return !m_fleet.hosts[m_number]->hasStoreAnswered;
+}
+
+inline auto FleetPeers::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
+{
+    const auto number = std::stoi(std::string(host));
+    return m_fleet.mayCall(m_number, number) && m_fleet.hosts[number]->incarnation == incarnation ? std::string(host) : std::string();
+}
+
+inline auto FleetPeers::call(std::string address, peers::messages::Request request, Milliseconds timeout)
+    -> AsyncResult<peers::messages::Response>
+{
+    const auto number = std::stoi(address);
+    auto delay = asio::steady_timer(co_await asio::this_coro::executor, Milliseconds(1));
+    co_await delay.async_wait(asio::use_awaitable);
+    if (!m_fleet.mayCall(m_number, number)) {
+        co_return peers::PeerError::Unreachable;
+    }
+    ++m_fleet.calls;
+    if (m_fleet.frozen.contains(number)) {
+        delay.expires_after(timeout);
+        co_await delay.async_wait(asio::use_awaitable);
+        co_return peers::PeerError::Unreachable;
+    }
+    const auto host = m_fleet.hosts[number];
+    auto response = peers::messages::Response();
+    if (request.has_ended_turn()) {
+        host->ledger.acceptReturnedTokens(m_fleet.key, request.ended_turn().returned_tokens());
+    } else {
+        response = co_await host->ledger.answer(request.grant_query(), 0);
+    }
+    co_await asio::post(asio::use_awaitable);
+    delay.expires_after(m_fleet.answerDelay);
+    co_await delay.async_wait(asio::use_awaitable);
+    if (m_fleet.lostAnswers > 0) {
+        --m_fleet.lostAnswers;
+        co_return peers::PeerError::Unreachable;
+    }
+    co_return response;
+}
+
+} // namespace laburnummill::programs::testing
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -71,7 +71,9 @@
     , m_store(external.store, m_link, m_clock)
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
     , m_journal(context.get_executor(), m_programs, m_store, m_link, m_clock, turnMemory(m_settings))
-    , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock)
+    , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock,
+                m_settings.overloadControl == OverloadControl::ByPrograms ? programs::TokenRequests::InAdvance
+                                                                          : programs::TokenRequests::PerTurn)
     , m_storeWatcher(context.get_executor(), external.store, external.feed, m_store.directWay(), m_fleetState, external.rows, m_clock)
     , m_rollouts(context.get_executor(), m_fleetState, external.rows, m_store, m_link, m_clock, m_metrics, m_settings.offersRollouts)
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
@@ -186,6 +188,7 @@
         m_connector.maintain();
         m_fleetState.backends().expire(m_clock.now());
         m_link.setReady(isReady());
+        m_budgets.returnUnused();
         sinceMaintenance += s_limitsPeriod;
         if (sinceMaintenance < s_maintenancePeriod) {
             continue;
@@ -265,10 +268,12 @@
     auto timer = asio::steady_timer(m_context);
     auto nextLogAt = startedAt;
     m_link.announceLeave();
+    m_budgets.stopHolding();
     while (!m_shutdown.mustEnd(m_clock.now())) {
         const auto haveBalancersNoticed = m_shutdown.haveBalancersNoticed(m_clock.now());
         const auto areCallersClosed = haveBalancersNoticed && closeIdleCallers();
-        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0) {
+        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0 &&
+            m_budgets.openTransfers() == 0) {
             break;
         }
         if (m_clock.now() >= nextLogAt) {
@@ -294,7 +299,10 @@
     if (!areCallersClosed) {
         return "connections";
     }
-    return m_journal.unwritten() > 0 ? "unwritten_turns" : "relayed_connections";
+    if (m_journal.unwritten() > 0) {
+        return "unwritten_turns";
+    }
+    return m_link.relays() > 0 ? "relayed_connections" : "returned_tokens";
 }
 
 auto EntryHost::logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void
