--- a/src/backends/statedload.cpp
+++ b/src/backends/statedload.cpp
@@ -35,7 +35,6 @@
 
 auto StatedLoad::take(const LoadStatement& load, Instant statedAt) -> void
 {
-    m_hasStatedPace = m_hasStatedPace || load.pace.has_value();
     if (!m_latest || statedAt >= m_latest->statedAt) {
         m_latest = {.load = load, .statedAt = statedAt};
     }
--- a/src/backends/statedload.h
+++ b/src/backends/statedload.h
@@ -49,9 +49,6 @@
     /// Expected ratio of the time that work takes there now to the usual.
     auto pace(framework::Instant now) const -> double;
 
-    /// Whether the server has ever stated its pace.
-    auto hasStatedPace() const -> bool { return m_hasStatedPace; }
-
     /// Weight of a statement of the numbers of requests, from 1 at once to 0.
     static auto weightOf(framework::Milliseconds age) -> double;
 
@@ -60,7 +57,6 @@
 
     std::optional<DatedLoadStatement> m_latest;
     std::optional<DatedLoadStatement> m_own;
-    bool m_hasStatedPace = false;
     framework::Instant m_silentAt{};
 };
 
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -100,6 +100,9 @@
     /// Ends a request that no server answered: a started response is aborted, otherwise the refusal is returned.
     auto endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
+    /// `stated`: the load that the server stated before the attempt, if it was asked for it.
+    auto logAttempt(const backends::Backend& backend, const AttemptResult& result, framework::Milliseconds took,
+                    const std::optional<backends::DatedLoadStatement>& stated) -> void;
     /// Whether the last attempt's stream ended in the middle of an event.
     auto endedInsideEvent() const -> bool;
     /// Key of the latency of a stream's first event. The latency between events has the route's name as key.
@@ -123,7 +126,7 @@
     auto chooseBackend() -> backends::BackendPtr;
     /// Asks those servers for their load that the choice depends on; the choice is then made among these.
     auto probeServers() -> framework::Async<void>;
-    auto choiceSettings(const std::vector<backends::BackendPtr>& servers) const -> scheduling::ChoiceSettings;
+    auto choiceSettings() const -> scheduling::ChoiceSettings;
     /// Chooses a server, and waits for one if none is available. Returns null if there is none in time, or if there is certainly none.
     auto awaitBackend() -> framework::Async<backends::BackendPtr>;
     auto canRetry(const AttemptResult& result) const -> bool;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -84,15 +84,14 @@
     return m_context.rollouts.allowed(m_service->name, servers, m_requirements.chain, m_attempts > 0);
 }
 
-auto RequestHandler::choiceSettings(const std::vector<BackendPtr>& servers) const -> scheduling::ChoiceSettings
+auto RequestHandler::choiceSettings() const -> scheduling::ChoiceSettings
 {
     const auto hosts = m_context.fleetSize();
     auto settings = scheduling::ChoiceSettings{.ownDataCentre = m_context.dataCentre,
                                                .coldRequestsPerSecond = m_service->coldRequestsPerSecond,
                                                .hosts = hosts,
                                                .reportInterval = peers::heartbeatInterval(hosts)};
-    const auto statePace = std::ranges::any_of(servers, [](const BackendPtr& server) { return server->load.hasStatedPace(); });
-    if (m_service->engine && (statePace || m_context.overloadControl == OverloadControl::ByPrograms)) {
+    if (m_service->engine && m_context.overloadControl == OverloadControl::ByPrograms) {
         settings.rule = scheduling::PlacementRule::ExpectedFinish;
     }
     return settings;
@@ -105,7 +104,7 @@
     auto asked = std::vector<BackendPtr>();
     while (!m_service->healthPath.empty()) {
         const auto servers = usableServers();
-        const auto settings = choiceSettings(servers);
+        const auto settings = choiceSettings();
         if (settings.rule != scheduling::PlacementRule::ExpectedFinish) {
             co_return;
         }
@@ -134,7 +133,7 @@
         m_isKeptFromLeavingServer = true;
         m_context.metrics.count("requests_kept_from_leaving_servers");
     }
-    const auto settings = choiceSettings(servers);
+    const auto settings = choiceSettings();
     const auto now = m_context.clock.now();
     m_context.serverLimits.applyShares(m_service->name, servers, now);
     m_limitWait = std::nullopt;
@@ -178,14 +177,21 @@
                                 result.outcome == AttemptOutcome::Misdirected || result.outcome == AttemptOutcome::CancelledUnsent;
     m_mayHaveRun = m_mayHaveRun || !isSurelyNotRun;
     const auto took = std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - startedAt);
-    auto entry = framework::Json{{"server", backend->entry.id},
+    logAttempt(*backend, result, took, isProbed ? stated : std::nullopt);
+    co_return result;
+}
+
+auto RequestHandler::logAttempt(const backends::Backend& backend, const AttemptResult& result, Milliseconds took,
+                                const std::optional<backends::DatedLoadStatement>& stated) -> void
+{
+    auto entry = framework::Json{{"server", backend.entry.id},
                                  {"end", framework::nameOf(s_attemptOutcomeNames, result.outcome)},
                                  {"status", result.head.result_int()},
                                  {"toHeadMs", result.toHead.count()},
                                  {"tookMs", took.count()},
-                                 {"running", backend->running},
-                                 {"elsewhere", backend->runningRemotely}};
-    if (isProbed && stated) {
+                                 {"running", backend.running},
+                                 {"elsewhere", backend.runningRemotely}};
+    if (stated) {
         entry["stated"] = stated->load.running + stated->load.waiting;
     }
     if (result.framing) {
@@ -211,7 +217,6 @@
         entry["fault"] = framework::nameOf(s_continuationFaultNames, *m_continuation->fault());
     }
     m_attemptLog.push_back(std::move(entry));
-    co_return result;
 }
 
 auto RequestHandler::endedInsideEvent() const -> bool
--- a/testing/simulation/programfleet.cpp
+++ b/testing/simulation/programfleet.cpp
@@ -183,7 +183,7 @@
         probed.insert(probed.end(), next.begin(), next.end());
     }
     m_probes += static_cast<int>(probed.size());
-    const auto chosen = host.choice->choose(probed.empty() ? servers : probed, requirements, settings, m_now);
+    auto chosen = host.choice->choose(probed.empty() ? servers : probed, requirements, settings, m_now);
     host.choice->started(chosen, requirements, settings, m_now);
     return chosen;
 }
