--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,73 @@
-"""A request that crashes engines reaches them again and again while hosts are restarted in turn."""
+"""Tokens that a host granted while the store was down are forgotten when that host is killed: the budget is spent again."""
 import asyncio
 import pathlib
 import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
-from lab import Lab, play  # noqa: E402
+from lab import TOKENS_PER_EVENT, Lab, play  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-CONTACT = 3.0  # contact_ms
-MARK = b"crash-me"
+BUDGET = 4200
+MOST = 140  # of one turn
+OUTAGE = 7.0  # seconds; the sites name up to 7
 
 
 async def case(holder, has_trouble):
-    lab = Lab(FOLDER, ["zone-cedar", "zone-cedar", "zone-etowah", "zone-blue"], engines=1, app_engines=6)
+    lab = Lab(FOLDER, ["zone-cedar", "zone-etowah", "zone-blue"])
     holder.append(lab)
-    crashes = []  # (time, request id)
-    loop = asyncio.get_running_loop()
-    for engine in lab.engines[1:]:
-        engine.crashes_on = MARK
-        engine.on_crash = lambda engine, ident: (crashes.append((loop.time(), ident)),
-                                                 lab.record(f"engine {engine.name} crashes on request {ident}"))
     if not await lab.open():
+        lab.record("the hosts were not ready in time")
         return 2
-    in_touch_since = {host: loop.time() - CONTACT for host in lab.hosts}
-    sent_by = {}
-    is_over = False
-    served = {"sent": 0, "served": 0}
+    loop = asyncio.get_running_loop()
+    program = lab.new_id()
+    spent = 0
+    previous = None
 
-    async def client():  # the same path, caller and body, once in 0.7 s, at any machine in touch
-        while not is_over:
-            hosts = [host for host in lab.hosts if loop.time() > in_touch_since[host] + CONTACT]
-            host = lab.random.choice(hosts)
-            ident = lab.new_id()
-            sent_by[ident] = (loop.time(), host.number)
-            _, reply = await lab.call(host, text=MARK, ident=ident)
-            lab.record(f"host {host.number}: request {ident} {reply.status} {reply.body[:40]!r}")
-            _, reply = await lab.call(host)
-            served["sent"] += 1
-            served["served"] += reply.status == 200
-            await asyncio.sleep(0.7)
+    async def turn(host):
+        nonlocal spent, previous
+        ident, reply = await lab.turn(host, program, budget=BUDGET, most=MOST, previous=previous, patience=2.5)
+        spent += reply.events * TOKENS_PER_EVENT
+        if reply.status == 200 and reply.is_whole:
+            previous = ident
+        lab.record(f"host {host.number}: turn {ident} {reply.status} whole={reply.is_whole} tokens={reply.events * TOKENS_PER_EVENT} "
+                   f"in all {spent}, run {lab.runs(ident)} times" + ("" if reply.status == 200 else f" {reply.body[:60]!r}"))
+        return reply
 
-    task = asyncio.ensure_future(client())
+    lab.store.is_busy = True
+    lab.record("the store is down (503)")
     began = loop.time()
-    while len(crashes) < 3 and loop.time() < began + 15:
-        await asyncio.sleep(0.1)
-    if len(crashes) < 3:
-        return 2
-    third = crashes[2][0]
-    await asyncio.sleep(CONTACT + 2)
-    for host in lab.hosts * 2:  # a release, and one more
-        if has_trouble:
-            in_touch_since[host] = loop.time() + 100
-            host.process.send_signal(signal.SIGTERM)
-            try:
-                await asyncio.wait_for(host.process.wait(), 8)
-            except asyncio.TimeoutError:
-                pass
-            await host.kill()
-            await host.start()
-            if not await host.ready():
-                return 2
-            in_touch_since[host] = loop.time()
-        await asyncio.sleep(CONTACT + 1)
-    await asyncio.sleep(4)
-    is_over = True
-    await task
-    late = [ident for _, ident in crashes if sent_by.get(ident, (0, 0))[0] > third + CONTACT]
-    lab.record(f"engines crashed {len(crashes)} times; retries that reached engines later than contact_ms after the third: {len(late)}")
-    lab.record(f"other requests: {served}")
-    print(f"late retries at engines: {len(late)}, allowed 3")
-    return 1 if len(late) > 3 else 0
+    await asyncio.sleep(1)
+    for _ in range(20):  # the program begins and goes on until nothing more is granted without the store
+        reply = await turn(lab.hosts[0])
+        if reply.status != 200 or loop.time() > began + OUTAGE - 2.5:
+            break
+    lab.record(f"tokens handed out while the store was down: {spent}")
+    await asyncio.sleep(max(0.0, began + OUTAGE - 1 - loop.time()))
+    if has_trouble:
+        await lab.hosts[0].kill(signal.SIGKILL)
+    await asyncio.sleep(max(0.0, began + OUTAGE - loop.time()))
+    lab.store.is_busy = False
+    lab.record("the store is back")
+    if has_trouble:
+        await asyncio.sleep(1)
+        await lab.hosts[0].start()
+        if not await lab.hosts[0].ready():
+            return 2
+    await asyncio.sleep(6)
+    refused = 0
+    while loop.time() < began + 60:  # the program loops until it is stopped
+        reply = await turn(lab.hosts[1])
+        if reply.status == 402:
+            break
+        refused += reply.status != 200
+        if refused > 40:
+            break
+        if reply.status != 200:
+            await asyncio.sleep(0.2)
+    lab.record(f"handed out in all: {spent}; budget {BUDGET} + the most of one turn {MOST}")
+    print(f"tokens {spent}, allowed {BUDGET + MOST}")
+    return 1 if spent > BUDGET + MOST else 0
 
 
 play(FOLDER, case)
