--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -66,6 +66,7 @@
         self.version = 0
         self.changed = asyncio.Condition()
         self.is_busy = False  # down: 503, nothing is done
+        self.answer_s = 0.004
         self.refused = {}
         self.silent = set()
 
@@ -106,10 +107,10 @@
 
     async def answer(self, path, query, body):
         if path == "/api/rows-tx":
-            await asyncio.sleep(0.004)
+            await asyncio.sleep(self.answer_s)
             return await self.transact(body)
         if path == "/api/rows-get":
-            await asyncio.sleep(0.004)
+            await asyncio.sleep(self.answer_s)
             return self.get(query)
         if path == "/api/rows-feed":
             return await self.feed(query)
@@ -134,17 +135,17 @@
             if size > ROW_BYTES:
                 return self.refuse(f"value of at most row_bytes {ROW_BYTES}, this one has {size}, row {put['table']}/{put['key']}")
         address = lambda row: (row["table"], row["part"], row["key"])
-        current = []
-        holds = True
-        for row in conditions:
-            found = self.rows.get(address(row))
-            there = found is not None and not found[2]
-            holds = holds and row["ver"] == (found[1] if there else 0)
-            if there:
-                current.append(self.row_json(address(row)))
-        if not holds:
-            return 412, {"rows": current, "ver": self.version, "now_ms": int(time.monotonic() * 1000)}
-        async with self.changed:
+        async with self.changed:  # one transaction after the other
+            current = []
+            holds = True
+            for row in conditions:
+                found = self.rows.get(address(row))
+                there = found is not None and not found[2]
+                holds = holds and row["ver"] == (found[1] if there else 0)
+                if there:
+                    current.append(self.row_json(address(row)))
+            if not holds:
+                return 412, {"rows": current, "ver": self.version, "now_ms": int(time.monotonic() * 1000)}
             self.version += 1
             for put in puts:
                 self.rows[address(put)] = [put["value"], self.version, False]
