--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -194,6 +194,8 @@
         self.channels = set()
         self.crashes_on = None  # bytes in a body that crash the engine
         self.down_s = 2.0
+        self.event_s = 0.003  # time that one event takes
+        self.running = 0  # streams in progress
         self.on_crash = lambda engine, ident: None
 
     async def open(self, store):
@@ -253,23 +255,84 @@
 
     async def stream(self, writer, ident, headers, body, own):
         self.ran.append((ident, headers.get("tenant", ""), body))
+        self.running += 1
+        try:
+            await self.send_events(writer, ident, headers, own)
+        finally:
+            self.running -= 1
+
+    async def send_events(self, writer, ident, headers, own):
         most = int(headers.get("token-usage", "0,70").split(",")[1])
         writer.write(f"HTTP/1.1 200 OK\r\nRequest-Id: {ident}\r\nResponse-Signature: s\r\n{own}"
                      f"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         for number in range(most // TOKENS_PER_EVENT):
-            await asyncio.sleep(0.003)
+            await asyncio.sleep(self.event_s)
             event = f"id: {number}\ndata: {ident}-{number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
 
+class Way:
+    """A proxy of one host: the ways of other hosts to it and its way to the store. While they are cut, nothing passes, silently."""
+
+    def __init__(self, lab, host):
+        self.lab, self.host = lab, host
+        self.is_cut = False
+
+    @property
+    def listen_ip(self):
+        return self.lab.ip(61 + self.host.number)
+
+    async def open(self):
+        lab, port = self.lab, self.lab.ports[3]
+        loop = asyncio.get_event_loop()
+        way = self
+
+        class Datagrams(asyncio.DatagramProtocol):
+            def connection_made(self, transport):
+                self.transport = transport
+
+            def datagram_received(self, data, sender):
+                if not way.is_cut and not any(host.way.is_cut for host in lab.hosts if host.way.listen_ip == sender[0]):
+                    self.transport.sendto(data, (way.listen_ip, port))
+
+        await loop.create_datagram_endpoint(Datagrams, local_addr=(self.host.ip, port))
+        await asyncio.start_server(self.to(lambda: (self.listen_ip, port)), self.host.ip, port)
+        server = await asyncio.start_server(self.to(lambda: (lab.store.ip, lab.store.port)), self.host.ip, 0)
+        self.store_address = f"{self.host.ip}:{server.sockets[0].getsockname()[1]}"
+
+    def to(self, target):
+        async def serve(reader, writer):
+            while self.is_cut:
+                await asyncio.sleep(0.02)
+            try:
+                far_reader, far_writer = await asyncio.open_connection(*target())
+            except OSError:
+                writer.transport.abort()
+                return
+            await asyncio.gather(self.copy(reader, far_writer), self.copy(far_reader, writer))
+        return serve
+
+    async def copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                while self.is_cut:
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            writer.transport.abort()
+        writer.close()
+
+
 class Host:
     """A host: the program of the deploy file as a process."""
 
     def __init__(self, lab, number, zone):
         self.lab, self.number, self.zone = lab, number, zone
         self.ip = lab.ip(11 + number)
+        self.way = Way(lab, self) if lab.has_ways else None
         self.process = None
         self.starts = 0
 
@@ -291,15 +354,16 @@
                           "platform"],
             "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": {"contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000, "recovery_s": 12},
-            "provider": {"address": f"{lab.store.ip}:{lab.store.port}", "form": "table", "writes_per_s": 800, "reads_per_s": 2000,
+            "provider": {"address": self.way.store_address if self.way else f"{lab.store.ip}:{lab.store.port}", "form": "table", "writes_per_s": 800, "reads_per_s": 2000,
                          "tx_ms": 5.0, "part_writes_s": 200, "row_bytes": ROW_BYTES, "across": False, "history_s": 20}}
         path = lab.folder / f"host-{self.number}.json"
         path.write_text(json.dumps(settings))
         log = open(lab.folder / f"host-{self.number}.log", "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["LABURNUMMILL_NODE_FILE"] = str(path)
+        options = ["--peer-listen", f"{self.way.listen_ip}:{lab.ports[3]}"] if self.way else []
         self.process = await asyncio.create_subprocess_exec(
-            str(ROOT / "target/platform/laburnummill-entry"), cwd=ROOT, env=environment, stdout=log, stderr=log)
+            str(ROOT / "target/platform/laburnummill-entry"), *options, cwd=ROOT, env=environment, stdout=log, stderr=log)
         log.close()
         self.starts += 1
         lab.record(f"host {self.number} started, start {self.starts}")
@@ -341,7 +405,8 @@
 class Lab:
     """Store, engines and hosts of one case."""
 
-    def __init__(self, folder, zones, engines=2, app_engines=0):
+    def __init__(self, folder, zones, engines=2, app_engines=0, has_ways=False):
+        self.has_ways = has_ways
         self.case = pathlib.Path(folder)
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -383,6 +448,9 @@
             "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1, "rate_per_s": 2000, "burst": 2000}]})
         for engine in self.engines:
             await engine.open(self.store)
+        for host in self.hosts:
+            if host.way:
+                await host.way.open()
         for host in self.hosts:
             await host.start()
         for host in self.hosts:
@@ -404,11 +472,11 @@
     def new_id(self):
         return f"{self.random.getrandbits(64):016x}"
 
-    async def turn(self, host, program, budget=2240, most=70, previous=None, text=b"hello ", ident=None, patience=3.0):
+    async def turn(self, host, program, budget=2240, most=70, previous=None, text=b"hello ", ident=None, patience=3.0, aim_ms=5000):
         """Sends a turn on a channel of its own; returns its id and the answer."""
         ident = ident or self.new_id()
         head = (f"POST /chat/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {ident}\r\nModel: m\r\nProgram-Id: {program}\r\n"
-                f"Session-Id: {program}\r\nProgram-Deadline-Ms: 5000\r\nToken-Budget: {budget}\r\nToken-Usage: 100,{most}\r\n"
+                f"Session-Id: {program}\r\nProgram-Deadline-Ms: {aim_ms}\r\nToken-Budget: {budget}\r\nToken-Usage: 100,{most}\r\n"
                 f"Prompt-Prefix: {ident}:100\r\nDeadline-Ms: {int(patience * 1000)}\r\nX-Api-Key: {KEY}\r\n"
                 f"Content-Length: {len(text)}\r\n")
         if previous:
