--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A program spends its budget and is stopped; a zone is cut off, and the program returns through that zone."""
+"""A program starts while the store is down; the host that granted its tokens is killed. The program then uses its whole budget."""
 import asyncio
 import pathlib
 import sys
@@ -8,12 +8,12 @@
 import lab as stand  # noqa: E402
 
 
-BUDGET, MOST = 5600, 280
-CUT_S = 5.5  # `zone_cut` of the site file
+BUDGET, MOST = 2240, 280
+OUTAGE_S = 4.5  # `platform_down` of the site file
 
 
 async def case(holder, has_trouble):
-    lab = stand.Lab(FOLDER, ["a", "b", "c"], has_ways=True)
+    lab = stand.Lab(FOLDER, ["a", "b", "c"])
     holder.append(lab)
     if not await lab.open():
         lab.record("the hosts are not ready")
@@ -21,36 +21,50 @@
     loop = asyncio.get_event_loop()
     program = lab.new_id()[:6]
     tokens = 0
+    handed = 0
+    previous = None
+
+    async def send(host, tries):
+        nonlocal tokens, previous, handed
+        for attempt in range(tries):
+            ident, answer = await lab.turn(host, program, BUDGET, MOST, previous, b"go on ")
+            tokens += answer.events * stand.TOKENS_PER_EVENT
+            lab.record(f"turn {ident} after {previous} at host {host.number}: {answer.status} whole={answer.is_whole} "
+                       f"events={answer.events} tokens so far={tokens}")
+            if answer.status == 200 and answer.is_whole:
+                previous = ident
+                handed += 1
+                return 200
+            if answer.status == 402:
+                return 402
+            await asyncio.sleep(0.25)
+        return answer.status
 
-    async def send(host, previous):
-        nonlocal tokens
-        ident, answer = await lab.turn(host, program, BUDGET, MOST, previous, b"go on ")
-        tokens += answer.events * stand.TOKENS_PER_EVENT
-        lab.record(f"turn {ident} after {previous} at host {host.number}: {answer.status} whole={answer.is_whole} "
-                   f"events={answer.events} tokens so far={tokens} {answer.body if answer.status != 200 else b''}")
-        return ident if answer.status == 200 and answer.is_whole else None, answer.status
-
-    last = None
-    for turn in range(30):
-        ident, status = await send(lab.hosts[1], last)
-        last = ident or last
-        if status == 402:
-            break
-    lab.record(f"the program was stopped with {tokens} tokens")
     started = loop.time()
     if has_trouble:
-        lab.hosts[0].way.is_cut = True
-        lab.record("zone a is cut off")
-    await asyncio.sleep(1.5)
-    last, failed = None, 0
-    while loop.time() < started + CUT_S - 0.5 and failed < 6:
-        ident, status = await send(lab.hosts[0], last)
-        last = ident or last
-        failed = 0 if ident else failed + 1
-        await asyncio.sleep(0.2)
-    lab.hosts[0].way.is_cut = False
+        lab.store.is_busy = True
+        lab.record("the store is down")
+        await asyncio.sleep(0.5)
+    for _ in range(2):
+        if await send(lab.hosts[0], 3) != 200:
+            lab.record("no turn was answered in the outage")
+            return 2 if has_trouble else 0
+    if has_trouble:
+        await asyncio.sleep(0.5)
+        await lab.hosts[0].kill()
+        await asyncio.sleep(0.8)
+        await lab.hosts[0].start()
+        await asyncio.sleep(max(0, started + OUTAGE_S - loop.time()))
+        lab.store.is_busy = False
+        lab.record("the store is back")
+        await asyncio.sleep(3)
+    for turn in range(20):
+        status = await send(lab.hosts[1 + turn % 2], 6)
+        if status == 402:
+            break
+        await asyncio.sleep(0.3)
     lab.record(f"tokens handed to the client: {tokens}; budget {BUDGET} and one turn {MOST}: {BUDGET + MOST}")
-    print(f"tokens {tokens}, allowed {BUDGET + MOST}")
+    print(f"tokens {tokens}, allowed {BUDGET + MOST}, turns {handed}")
     return 1 if tokens > BUDGET + MOST else 0
 
 
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -279,6 +279,7 @@
     def __init__(self, lab, host):
         self.lab, self.host = lab, host
         self.is_cut = False
+        self.power = 0
 
     @property
     def listen_ip(self):
@@ -302,10 +303,17 @@
         server = await asyncio.start_server(self.to(lambda: (lab.store.ip, lab.store.port)), self.host.ip, 0)
         self.store_address = f"{self.host.ip}:{server.sockets[0].getsockname()[1]}"
 
+    def lose_power(self):
+        """Bytes that the cut holds up are lost with their sender's power."""
+        self.power += 1
+
     def to(self, target):
         async def serve(reader, writer):
-            while self.is_cut:
-                await asyncio.sleep(0.02)
+            if self.is_cut:  # a channel that is opened in a cut hangs, and never carries a byte
+                while self.is_cut:
+                    await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return
             try:
                 far_reader, far_writer = await asyncio.open_connection(*target())
             except OSError:
@@ -317,8 +325,12 @@
     async def copy(self, reader, writer):
         try:
             while data := await reader.read(65536):
+                power = self.power
                 while self.is_cut:
                     await asyncio.sleep(0.02)
+                if power != self.power:
+                    writer.transport.abort()
+                    return
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
