--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An engine crashes while several turns with the same short input run there. Later programs of the tenant send that input."""
+"""A machine is cut off and goes on with a program; then its process is killed. Is the program's last turn still known?"""
 import asyncio
 import pathlib
 import sys
@@ -8,84 +8,68 @@
 import lab as stand  # noqa: E402
 
 
-INPUT = b"yes please "
-DOWN_S = 4.0
-CONTACT_S = 3.0
+CUT_S = 5.5  # `node_cut` of the site file
+DARK_S = 1.5  # `node_kill` with `power`; 3.5 in the site file
 
 
 async def case(holder, has_trouble):
-    lab = stand.Lab(FOLDER, ["a", "b", "c"])
+    lab = stand.Lab(FOLDER, ["a", "a", "b", "b", "c", "c"], has_ways=True)
     holder.append(lab)
-    slow, fast = lab.engines
-    slow.event_s, fast.event_s = 0.3, 0.05  # engines of one service differ in speed
-    slow.down_s = DOWN_S
     if not await lab.open():
         lab.record("the hosts are not ready")
         return 2
+    loop = asyncio.get_event_loop()
+    cut = lab.hosts[4]
 
     async def send(host, program, previous, text):
-        ident, answer = await lab.turn(host, program, previous=previous, text=text, aim_ms=5000)
-        reached = lab.runs(ident) > 0
+        ident, answer = await lab.turn(host, program, 2240, 70, previous, text)
         lab.record(f"turn {ident} of {program} after {previous} at host {host.number}: {answer.status} whole={answer.is_whole} "
-                   f"{'ran' if reached else 'reached no engine'} {answer.body[:40] if answer.status != 200 else b''}")
-        return ident, answer
+                   f"{answer.body if answer.status != 200 else b''}")
+        return ident, answer.status, answer.status == 200 and answer.is_whole
 
-    async def talk(number):
+    begun = {}
+    for _ in range(12):
         program = lab.new_id()[:6]
-        first, answer = await send(lab.hosts[0], program, None, f"a quote for {program} ".encode())
-        if not answer.is_whole:
-            return
-        await gate.wait()
-        for resend in range(3):  # a turn that failed is sent again, at most twice, at another host
-            _, answer = await send(lab.hosts[resend % 3], program, first, INPUT)
-            if answer.status == 200 and answer.is_whole:
-                return
-            await asyncio.sleep(lab.random.uniform(0.1, 0.4))
-
-    gate = asyncio.Event()
-    talks = [asyncio.ensure_future(talk(number)) for number in range(8)]
-    await asyncio.sleep(4)
-    gate.set()
+        ident, _, whole = await send(cut, program, None, b"hello ")
+        if whole:
+            begun[program] = ident
+    started = loop.time()
     if has_trouble:
-        crash = None
-        for _ in range(200):
-            await asyncio.sleep(0.01)
-            if slow.running >= 3 and fast.running == 0:
-                lab.record(f"engine {slow.name} crashes with {slow.running} turns")
-                crash = asyncio.ensure_future(slow.crash(""))
-                break
-        if not crash:
-            lab.record("the engines never stood so")
-            return 2
-        await crash
-        lab.record(f"engine {slow.name} is back")
-    await asyncio.gather(*talks)
-    await asyncio.sleep(CONTACT_S + 1)
-    lab.record("contact_ms without a disturbance is over")
-    first_turns = first_reached = lost = followed = 0
-    for number in range(6):
-        program = lab.new_id()[:6]
-        first, answer = await send(lab.hosts[number % 3], program, None, f"a quote for {program} ".encode())
-        first_turns += 1
-        first_reached += lab.runs(first) > 0
-        if not (answer.status == 200 and answer.is_whole):
-            continue
-        followed += 1
-        tries, reached = 0, False
-        for resend in range(3):
-            for attempt in range(2):  # a refused turn is tried once more at once, at another host
-                ident, answer = await send(lab.hosts[(number + tries) % 3], program, first, INPUT)
-                tries += 1
-                reached = reached or lab.runs(ident) > 0
-                if reached:
-                    break
-            if reached:
+        cut.way.is_cut = True
+        lab.record(f"host {cut.number} is cut off from the other hosts and the store")
+        await asyncio.sleep(1.6)
+    last = {}
+    for _ in range(2):  # the client still reaches it; a refused turn is sent once more
+        for program, previous in begun.items():
+            if program not in last:
+                ident, _, whole = await send(cut, program, previous, b"and then ")
+                if whole:
+                    last[program] = ident
+    if not last:
+        lab.record("no turn was answered whole in the cut")
+        return 2
+    if has_trouble:
+        await asyncio.sleep(0.5)
+        await cut.kill()
+        cut.way.lose_power()
+        lab.record(f"the machine of host {cut.number} has lost power")
+        await asyncio.sleep(DARK_S)
+        await cut.start()
+        await asyncio.sleep(max(0, started + CUT_S - loop.time()))
+        cut.way.is_cut = False
+        lab.record("the cut has ended")
+    denied = 0
+    for program, previous in last.items():
+        for number in range(6):
+            _, status, whole = await send(lab.hosts[number], program, previous, b"and last ")
+            denied += status == 404
+            if whole or status == 404:  # a 404 ends the program
                 break
-            await asyncio.sleep(lab.random.uniform(0.1, 0.4))
-        lost += tries >= 5 and not reached
-    lab.record(f"first turns: {first_reached} of {first_turns} reached an engine; next turns: {lost} of {followed} reached none in 5 tries or more")
-    print(f"first turns {first_reached}/{first_turns}, next turns that reached no engine {lost}/{followed}")
-    return 1 if lost and first_reached * 10 >= first_turns * 9 else 0
+            await asyncio.sleep(0.3)
+    text = f"{len(last)} turns answered whole in the cut; turns that go on from them and were answered 404: {denied}"
+    lab.record(text)
+    print(text)
+    return 1 if denied else 0
 
 
 stand.play(FOLDER, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A machine is cut off and goes on with a program; then its process is killed. Is the program's last turn still known?"""
+"""One turn with a long input and many short ones; then the final fault. New programs continue from the turns before it."""
 import asyncio
 import pathlib
 import sys
@@ -7,69 +7,64 @@
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 import lab as stand  # noqa: E402
 
-
-CUT_S = 5.5  # `node_cut` of the site file
-DARK_S = 1.5  # `node_kill` with `power`; 3.5 in the site file
+LONG = 70_000  # bytes; clients may send up to `max_body_bytes` of the config (4,194,304)
+PROGRAMS = 60
+DOWN_S = 1.0  # `down_s` of the final fault
+RECOVERY_S = 12.0
 
 
 async def case(holder, has_trouble):
-    lab = stand.Lab(FOLDER, ["a", "a", "b", "b", "c", "c"], has_ways=True)
+    lab = stand.Lab(FOLDER, ["a", "b", "c"])
     holder.append(lab)
     if not await lab.open():
         lab.record("the hosts are not ready")
         return 2
     loop = asyncio.get_event_loop()
-    cut = lab.hosts[4]
 
     async def send(host, program, previous, text):
-        ident, answer = await lab.turn(host, program, 2240, 70, previous, text)
+        ident, answer = await lab.turn(host, program, previous=previous, text=text)
+        reached = lab.runs(ident) > 0
         lab.record(f"turn {ident} of {program} after {previous} at host {host.number}: {answer.status} whole={answer.is_whole} "
-                   f"{answer.body if answer.status != 200 else b''}")
-        return ident, answer.status, answer.status == 200 and answer.is_whole
+                   f"{'ran' if reached else 'reached no engine'} {answer.body if answer.status != 200 else b''}")
+        return ident, answer.status == 200 and answer.is_whole, reached
 
-    begun = {}
-    for _ in range(8):
-        program = lab.new_id()[:6]
-        ident, _, whole = await send(cut, program, None, b"hello ")
+    known = []
+    for number in range(1 + PROGRAMS):
+        ident, whole, _ = await send(lab.hosts[0], lab.new_id()[:6], None, b"a short question " if number else b"x" * LONG)
         if whole:
-            begun[program] = ident
-    started = loop.time()
-    if has_trouble:
-        cut.way.is_cut = True
-        lab.record(f"host {cut.number} is cut off from the other hosts and the store")
-        await asyncio.sleep(1.6)
-    last = {}
-    for _ in range(2):  # the client still reaches it; a refused turn is sent once more
-        for program, previous in begun.items():
-            if program not in last:
-                ident, _, whole = await send(cut, program, previous, b"and then ")
-                if whole:
-                    last[program] = ident
-    if not last:
-        lab.record("no turn was answered whole in the cut")
+            known.append((ident, "short" if number else "long"))
+    if len(known) < PROGRAMS:
         return 2
+    await asyncio.sleep(6)
     if has_trouble:
-        await asyncio.sleep(0.5)
-        await cut.kill()
-        cut.way.lose_power()
-        lab.record(f"the machine of host {cut.number} has lost power")
-        await asyncio.sleep(DARK_S)
-        await cut.start()
-        await asyncio.sleep(max(0, started + CUT_S - loop.time()))
-        cut.way.is_cut = False
-        lab.record("the cut has ended")
-    denied = 0
-    for program, previous in last.items():
-        for number in range(6):
-            _, status, whole = await send(lab.hosts[number], program, previous, b"and last ")
-            denied += status == 404
-            if whole or status == 404:  # a 404 ends the program
-                break
-            await asyncio.sleep(0.3)
-    text = f"{len(last)} turns answered whole in the cut; turns that go on from them and were answered 404: {denied}"
+        lab.record("final fault: all processes are killed")
+        await asyncio.gather(*(host.kill() for host in lab.hosts))
+        await asyncio.sleep(DOWN_S)
+        await asyncio.gather(*(host.start() for host in lab.hosts))
+        for host in lab.hosts:
+            if not await host.ready():
+                return 2
+    back = loop.time()
+    lab.record("all processes are back")
+    first = {"sent": 0, "served": 0}
+    lost = list(known)
+    while lost and loop.time() < back + RECOVERY_S + 1:
+        program = lab.new_id()[:6]
+        is_late = loop.time() > back + RECOVERY_S - 4
+        _, whole, _ = await send(lab.hosts[first["sent"] % 3], program, None, b"a new question ")
+        first["sent"] += is_late
+        first["served"] += is_late and whole
+        for number, (previous, kind) in enumerate(list(lost)):  # a new program continues from an earlier turn
+            _, _, reached = await send(lab.hosts[number % 3], lab.new_id()[:6], previous, b"and then ")
+            if reached:
+                lost.remove((previous, kind))
+        await asyncio.sleep(0.4)
+    kinds = [kind for _, kind in lost]
+    text = (f"turns answered whole: {len(known)}; of these no engine was reached by recovery_s after {kinds.count('long')} long and "
+            f"{kinds.count('short')} short ones; other turns served in the last 4 s: {first['served']} of {first['sent']}")
     lab.record(text)
     print(text)
-    return 1 if denied else 0
+    return 1 if lost and first["served"] * 5 >= first["sent"] * 4 else 0
 
 
 stand.play(FOLDER, case)
