--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
     async def send(host, program, previous, text):
         ident, answer = await lab.turn(host, program, 2240, 70, previous, text)
         lab.record(f"turn {ident} of {program} after {previous} at host {host.number}: {answer.status} whole={answer.is_whole} "
-                   f"{answer.body if answer.status != 200 else b''}")
+                   f"{'ran' if lab.runs(ident) else 'reached no engine'} {answer.body if answer.status != 200 else b''}")
         return ident, answer.status, answer.status == 200 and answer.is_whole
 
     begun = {}
