--- a/src/peers/callall.cpp
+++ b/src/peers/callall.cpp
@@ -25,10 +25,11 @@
 auto callOne(IPeers& peers, std::string address, messages::Request request, Milliseconds timeout,
              std::shared_ptr<PendingCalls> pendingCalls, std::function<bool(const messages::Response&)> isEnough) -> Async<void>
 {
-    auto response = co_await peers.call(std::move(address), std::move(request), timeout);
+    auto response = co_await peers.call(address, std::move(request), timeout);
     --pendingCalls->open;
     auto isLast = pendingCalls->open == 0;
     if (response) {
+        response.value().set_address(address);
         isLast = isLast || isEnough(response.value());
         pendingCalls->results.responses.push_back(std::move(response.value()));
     } else {
--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -3,6 +3,7 @@
 #include "framework/global/async.h"
 #include "framework/global/time.h"
 #include "peers/fleetmessages.pb.h"
+#include "peers/hostsighting.h"
 #include "peers/peererrors.h"
 
 #include <string>
@@ -31,16 +32,11 @@
     /// Hosts with a direct connection to the store. Hosts of this host's data centre come first.
     virtual auto storeProxies() const -> std::vector<std::string> = 0;
 
-    /// Whether a host that may be serving is unreachable now.
-    virtual auto isAnyHostUnreachable() const -> bool = 0;
+    /// Number of hosts that may be serving and are unreachable now. Hosts that have left in order are not among them.
+    virtual auto unreachableHosts() const -> int = 0;
 
-    /// Whether there may be turns that no reachable host has. Either an unreachable host may be serving and hold such turns, or
-    /// they may be lost: as many hosts have restarted recently as hold copies of a turn while the store is unavailable.
-    virtual auto mayHaveUnknownTurns() const -> bool = 0;
-
-    /// Whether tokens granted during the current store outage may be recorded on no reachable host: as many hosts have restarted
-    /// since it began as hold the record of a grant.
-    virtual auto mayHaveLostGrants() const -> bool = 0;
+    /// The other hosts that may be serving or have served recently; see PeerTable::sightings().
+    virtual auto sightings() const -> std::vector<HostSighting> = 0;
 
     /// Number of hosts that may be serving, unreachable ones and this host included.
     virtual auto membershipSize() const -> int = 0;
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -31,9 +31,8 @@
 /// that returns after an hour is treated as a new one.
 constexpr auto s_probeRemovedFor = std::chrono::hours(1);
 
-/// A removed host may still be serving behind a network partition for this long. Partitions last minutes; after that, the
-/// host is assumed to be down.
-constexpr auto s_unaccountedFor = std::chrono::minutes(10);
+/// Longer than turns are retained.
+constexpr auto s_endedRetention = std::chrono::minutes(10);
 
 constexpr auto s_percent = 100.0;
 
@@ -57,6 +56,32 @@
     return update;
 }
 
+/// The part of a removed host's last heartbeat that identifies its incarnation.
+auto identityOf(const messages::Heartbeat& heartbeat) -> messages::Heartbeat
+{
+    auto identity = messages::Heartbeat();
+    identity.set_host(heartbeat.host());
+    identity.set_incarnation(heartbeat.incarnation());
+    identity.set_sequence(heartbeat.sequence());
+    identity.set_started_at(heartbeat.started_at());
+    identity.set_is_first_start(heartbeat.is_first_start());
+    identity.set_is_registered(heartbeat.is_registered());
+    return identity;
+}
+
+auto sightingOf(const Peer& peer) -> HostSighting
+{
+    return {.address = peer.address,
+            .host = peer.last.host(),
+            .incarnation = peer.last.incarnation(),
+            .hasEnded = peer.last.has_ended(),
+            .isFirstStart = peer.last.is_first_start(),
+            .isRegistered = peer.last.is_registered(),
+            .startedAt = peer.last.started_at(),
+            .heardAt = peer.lastHeartbeatAt == Instant{} ? peer.knownSince : peer.lastHeartbeatAt,
+            .lostStateAt = peer.lostStateAt};
+}
+
 } // namespace
 
 PeerTable::PeerTable(std::string ownAddress)
@@ -68,8 +93,13 @@
     if (address.empty() || address == m_ownAddress || m_peers.contains(address)) {
         return;
     }
-    m_removed.erase(std::string(address));
-    m_peers.emplace(std::string(address), Peer{.address = std::string(address), .last = {}, .knownSince = now, .lastHeartbeatAt = {}});
+    auto peer = Peer{.address = std::string(address), .last = {}, .admitted = {}, .knownSince = now};
+    if (const auto removed = m_removed.find(address); removed != m_removed.end()) {
+        peer.last = removed->second.peer.last;
+        peer.lostStateAt = removed->second.peer.lostStateAt;
+        m_removed.erase(removed);
+    }
+    m_peers.emplace(std::string(address), std::move(peer));
 }
 
 auto PeerTable::receive(const messages::Heartbeat& heartbeat, Instant now) -> HeartbeatUpdate
@@ -86,12 +116,16 @@
     }
     auto update = HeartbeatUpdate{.isStale = false, .isFirst = !isSameStart, .admitted = {}};
     if (!isSameStart) {
+        const auto isAccountedFor = peer.last.incarnation() == 0 || peer.last.is_registered() || peer.last.has_ended();
+        peer.lostStateAt = isAccountedFor ? peer.lostStateAt : now;
         peer.admitted.clear();
-        peer.incarnationSince = now;
     }
     update.admitted = updateAdmitted(peer.admitted, heartbeat);
     peer.last = heartbeat;
     peer.lastHeartbeatAt = now;
+    if (heartbeat.has_ended()) {
+        m_ended[heartbeat.incarnation()] = sightingOf(peer);
+    }
     return update;
 }
 
@@ -126,6 +160,13 @@
     return static_cast<double>(reachableHosts) / hosts;
 }
 
+auto PeerTable::countUnreachable(const Suspects& suspects, Instant now) const -> int
+{
+    return static_cast<int>(std::ranges::count_if(m_peers, [&](const auto& entry) {
+        return !entry.second.last.is_leaving() && (!isReachable(entry.second, now) || suspects.contains(entry.first));
+    }));
+}
+
 auto PeerTable::fleetSize() const -> int
 {
     return 1 + static_cast<int>(std::ranges::count_if(m_peers, [](const auto& entry) { return !entry.second.last.is_leaving(); }));
@@ -141,17 +182,30 @@
     std::erase_if(m_peers, [this, now](const auto& entry) {
         const auto isExpired = std::max(entry.second.lastHeartbeatAt, entry.second.knownSince) + s_removeAfter < now;
         if (isExpired && !entry.second.last.is_leaving()) {
-            m_removed.emplace(entry.first, now);
+            auto removed = entry.second;
+            removed.last = identityOf(entry.second.last);
+            removed.admitted.clear();
+            m_removed[entry.first] = {.removedAt = now, .peer = std::move(removed)};
         }
         return isExpired;
     });
-    std::erase_if(m_removed, [now](const auto& entry) { return entry.second + s_probeRemovedFor < now; });
+    std::erase_if(m_removed, [now](const auto& entry) { return entry.second.removedAt + s_probeRemovedFor < now; });
+    std::erase_if(m_ended, [now](const auto& entry) { return entry.second.heardAt + s_endedRetention < now; });
 }
 
-auto PeerTable::isAnyHostUnaccountedFor(Instant now) const -> bool
+auto PeerTable::sightings() const -> std::vector<HostSighting>
 {
-    const auto wasRemovedRecently = [now](const auto& entry) { return now < entry.second + s_unaccountedFor; };
-    return reachableFraction(now) < 1 || std::ranges::any_of(m_removed, wasRemovedRecently);
+    auto found = std::vector<HostSighting>();
+    for (const auto& [address, peer] : m_peers) {
+        found.push_back(sightingOf(peer));
+    }
+    for (const auto& [address, removed] : m_removed) {
+        found.push_back(sightingOf(removed.peer));
+    }
+    for (const auto& [incarnation, ended] : m_ended) {
+        found.push_back(ended);
+    }
+    return found;
 }
 
 auto PeerTable::hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation, Instant now) const -> bool
@@ -170,24 +224,10 @@
     return found == m_peers.end() ? std::string() : found->first;
 }
 
-auto PeerTable::countRestartedSince(std::uint64_t since, Instant now) const -> int
-{
-    const auto peers = reachablePeers(now);
-    return static_cast<int>(std::ranges::count_if(
-        peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->last.started_at() > since; }));
-}
-
-auto PeerTable::countRestartsSeenSince(Instant since, Instant now) const -> int
-{
-    const auto peers = reachablePeers(now);
-    return static_cast<int>(std::ranges::count_if(
-        peers, [since](const auto* peer) { return !peer->last.is_first_start() && peer->incarnationSince >= since; }));
-}
-
 auto PeerTable::removedAddresses() const -> std::vector<std::string>
 {
     auto found = std::vector<std::string>();
-    for (const auto& [address, since] : m_removed) {
+    for (const auto& [address, removed] : m_removed) {
         found.push_back(address);
     }
     return found;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -3,6 +3,7 @@
 #include "backends/statedload.h"
 #include "framework/global/time.h"
 #include "peers/fleetmessages.pb.h"
+#include "peers/hostsighting.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +23,7 @@
     messages::Heartbeat last;                      ///< empty if none was received yet
     std::map<std::string, std::uint64_t> admitted; ///< requests admitted since its current start, by client account
     framework::Instant knownSince{};
-    framework::Instant incarnationSince{}; ///< first heartbeat of its current incarnation
+    framework::Instant lostStateAt{};              ///< see HostSighting
     framework::Instant lastHeartbeatAt{};  ///< the epoch if no heartbeat was received yet
 };
 
@@ -102,12 +103,21 @@
     /// Fraction of reachable hosts among the hosts that may be serving, this host included; 0 to 1.
     auto reachableFraction(framework::Instant now) const -> double;
 
+    using Suspects = std::map<std::string, framework::Instant, std::less<>>;
+
+    /// Number of hosts that may be serving and are unreachable or, by address, in `suspects`. A host that is leaving no longer counts.
+    auto countUnreachable(const Suspects& suspects, framework::Instant now) const -> int;
+
     /// Number of hosts that may be serving, this host included.
     auto fleetSize() const -> int;
 
     /// Number of hosts that may be serving: those in the table, whether reachable or leaving, removed ones and this host.
     auto membershipSize() const -> int;
 
+    /// All other hosts that may be serving or have served recently, unreachable and removed ones included. A host that has ended is
+    /// listed, too, beside the host that has taken its address since.
+    auto sightings() const -> std::vector<HostSighting>;
+
     /// Removes hosts that have sent no heartbeat for a long time.
     auto removeExpired(framework::Instant now) -> void;
 
@@ -127,9 +137,6 @@
     /// Addresses of the known hosts of a data centre.
     auto addressesIn(std::string_view dataCentre) const -> std::vector<std::string>;
 
-    /// Whether a host is unreachable or was removed recently, so that it may still be serving behind a network partition.
-    auto isAnyHostUnaccountedFor(framework::Instant now) const -> bool;
-
     /// Whether the host is reachable, still has this incarnation and holds no turns that are missing in the store. A later
     /// incarnation has lost such turns.
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation, framework::Instant now) const -> bool;
@@ -137,12 +144,6 @@
     /// Address of the reachable host with this name and incarnation; empty if there is none.
     auto addressOf(std::string_view host, std::uint64_t incarnation, framework::Instant now) const -> std::string;
 
-    /// Number of reachable hosts that were restarted after `since` (Unix milliseconds) and thus lost their state in memory.
-    auto countRestartedSince(std::uint64_t since, framework::Instant now) const -> int;
-
-    /// Number of reachable hosts whose current incarnation, not their first one, was first seen after `since`.
-    auto countRestartsSeenSince(framework::Instant since, framework::Instant now) const -> int;
-
     /// Addresses of removed hosts. Heartbeats are sent there occasionally: after a long network partition both sides have
     /// removed each other.
     auto removedAddresses() const -> std::vector<std::string>;
@@ -164,13 +165,21 @@
     auto leavingBackends(framework::Instant now) const -> std::set<std::uint64_t>;
 
 private:
+    /// A host without heartbeats that is no longer in the table.
+    struct RemovedHost
+    {
+        framework::Instant removedAt{};
+        Peer peer;
+    };
+
     auto isReachable(const Peer& peer, framework::Instant now) const -> bool;
     auto addDataCentreTargets(std::vector<const Peer*> peers, std::uint64_t sequence, framework::Instant now,
                               HeartbeatTargets& targets) const -> void;
 
     std::string m_ownAddress;
     std::map<std::string, Peer, std::less<>> m_peers;
-    std::map<std::string, framework::Instant, std::less<>> m_removed;
+    std::map<std::string, RemovedHost, std::less<>> m_removed;
+    std::map<std::uint64_t, HostSighting> m_ended; ///< by incarnation
 };
 
 /// Identifies a backend server in heartbeats.
--- a/src/peers/tests/peertabletest.cpp
+++ b/src/peers/tests/peertabletest.cpp
@@ -66,29 +66,57 @@
     CHECK_EQUAL(1U, table.targets("a", 1, now).direct.size());
 }
 
-TEST(PeerTable, removedHostRemainsUnaccountedForMinutes)
+TEST(PeerTable, removedHostIsStillSightedWithItsIncarnationAndLastHeartbeat)
 {
     table.receive(makeHeartbeat("10.0.0.2:1", 5, 1), now);
-    CHECK_FALSE(table.isAnyHostUnaccountedFor(now));
     const auto later = now + Milliseconds(16'000);
-    CHECK_TRUE(table.isAnyHostUnaccountedFor(later));
+    CHECK_EQUAL(1, table.countUnreachable({}, later));
     table.removeExpired(later);
     DOUBLES_EQUAL(1, table.reachableFraction(later), 1e-9);
-    CHECK_TRUE(table.isAnyHostUnaccountedFor(later));
-    CHECK_FALSE(table.isAnyHostUnaccountedFor(later + Milliseconds(11 * 60'000)));
+    CHECK_EQUAL(1U, table.sightings().size());
+    CHECK_EQUAL(5U, table.sightings().front().incarnation);
+    CHECK_TRUE(table.sightings().front().heardAt == now);
 }
 
-TEST(PeerTable, countsRestartsButNotFirstStarts)
+TEST(PeerTable, hostThatIsReplacedByAnIncarnationLosesItsStateUnlessItHasEndedOrIsRegistered)
 {
-    auto first = makeHeartbeat("10.0.0.2:1", 5, 1);
-    first.set_started_at(1'000);
-    first.set_is_first_start(true);
-    table.receive(first, now);
-    auto restarted = makeHeartbeat("10.0.0.3:1", 5, 1);
-    restarted.set_started_at(2'000);
-    table.receive(restarted, now);
-    CHECK_EQUAL(1, table.countRestartedSince(500, now));
-    CHECK_EQUAL(0, table.countRestartedSince(2'500, now));
+    const auto lostStateAt = [this](const std::string& address, bool isRegistered, bool hasEnded) {
+        auto former = makeHeartbeat(address, 5, 1);
+        former.set_is_registered(isRegistered);
+        former.set_has_ended(hasEnded);
+        table.receive(former, now);
+        table.receive(makeHeartbeat(address, 6, 1), now + Milliseconds(100));
+        for (const auto& sighting : table.sightings()) {
+            if (sighting.address == address && sighting.incarnation == 6) {
+                return sighting.lostStateAt;
+            }
+        }
+        return Instant::max();
+    };
+    CHECK_TRUE(lostStateAt("10.0.0.2:1", false, false) == now + Milliseconds(100));
+    CHECK_TRUE(lostStateAt("10.0.0.3:1", true, false) == Instant{});
+    CHECK_TRUE(lostStateAt("10.0.0.4:1", false, true) == Instant{});
+}
+
+TEST(PeerTable, hostThatIsReplacedWhileItIsRemovedLosesItsStateAsWell)
+{
+    table.receive(makeHeartbeat("10.0.0.2:1", 5, 1), now);
+    const auto later = now + Milliseconds(16'000);
+    table.removeExpired(later);
+    table.receive(makeHeartbeat("10.0.0.2:1", 6, 1), later);
+    CHECK_TRUE(table.sightings().front().lostStateAt == later);
+}
+
+TEST(PeerTable, suspectCountsAsUnreachableUnlessItIsLeaving)
+{
+    table.receive(makeHeartbeat("10.0.0.2:1", 5, 1), now);
+    CHECK_EQUAL(0, table.countUnreachable({}, now));
+    const auto suspects = PeerTable::Suspects{{"10.0.0.2:1", now}};
+    CHECK_EQUAL(1, table.countUnreachable(suspects, now));
+    auto leaving = makeHeartbeat("10.0.0.2:1", 5, 2);
+    leaving.set_is_leaving(true);
+    table.receive(leaving, now);
+    CHECK_EQUAL(0, table.countUnreachable(suspects, now + Milliseconds(5'000)));
 }
 
 TEST(PeerTable, leavingHostIsNotCounted)
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -71,7 +71,7 @@
     const auto isLarge = mayBeGrantedMore(*program, maxTokens);
     // Unreachable hosts may have granted tokens as well. A budget may be exceeded by one turn's tokens, so only the larger grants
     // to programs with large budgets are counted.
-    const auto unreachable = m_peers.isAnyHostUnreachable() && isLarge ? program->budget / s_outageGrantDivisor : 0;
+    const auto unreachable = m_peers.unreachableHosts() > 0 && isLarge ? program->budget / s_outageGrantDivisor : 0;
     co_return others.unrecordedTokens + unreachable;
 }
 
@@ -172,8 +172,9 @@
         return demand.isFirstTurn;
     }
     // Hosts that ran earlier turns know the program, unless they have lost their memory since. Its row then contains what they
-    // used, and one turn's tokens may be granted without it, but only once.
-    return !program.isRowKnown && !others.isProgramKnown && !m_peers.mayHaveLostGrants();
+    // used, and one turn's tokens may be granted without it, but only once: hosts that remember an earlier grant support no other
+    // grantor, and hosts that may have forgotten one support none.
+    return !program.isRowKnown && !others.isProgramKnown;
 }
 
 auto BudgetLedger::mayGrantWithoutStore(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -82,9 +82,8 @@
     auto home(std::string_view) const -> std::string override;
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
-    auto isAnyHostUnreachable() const -> bool override;
-    auto mayHaveUnknownTurns() const -> bool override { return false; }
-    auto mayHaveLostGrants() const -> bool override { return false; }
+    auto unreachableHosts() const -> int override;
+    auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
     auto membershipSize() const -> int override { return s_hosts; }
     auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
@@ -229,14 +228,14 @@
     return addresses;
 }
 
-inline auto FleetPeers::isAnyHostUnreachable() const -> bool
+inline auto FleetPeers::unreachableHosts() const -> int
 {
-    return reachableHosts().size() + 1 < s_hosts;
+    return s_hosts - 1 - static_cast<int>(reachableHosts().size());
 }
 
 inline auto FleetPeers::wasStoreImpairedRecently() const -> bool
 {
-    return m_fleet.store.isAway || isAnyHostUnreachable();
+    return m_fleet.store.isAway || unreachableHosts() > 0;
 }
 
 inline auto FleetPeers::mayHaveForgottenSupport() const -> bool
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -68,11 +68,10 @@
     auto home(std::string_view) const -> std::string override { return ownAddress(); }
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override { return {"peer-1", "peer-2"}; }
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
-    auto isAnyHostUnreachable() const -> bool override { return false; }
-    auto mayHaveUnknownTurns() const -> bool override { return true; }
-    auto mayHaveLostGrants() const -> bool override { return hasLostGrants; }
+    auto unreachableHosts() const -> int override { return 0; }
+    auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
     auto membershipSize() const -> int override { return s_others + 1; }
-    auto mayHaveForgottenSupport() const -> bool override { return false; }
+    auto mayHaveForgottenSupport() const -> bool override { return haveForgottenSupport; }
     auto wasStoreImpairedRecently() const -> bool override { return isImpaired; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t) const -> std::string override { return "address of " + std::string(host); }
@@ -85,14 +84,14 @@
         auto response = peers::messages::Response();
         response.set_address(address);
         response.set_knows_program(address == knowingHost);
-        response.set_is_supported(!request.grant_query().grantor().empty());
+        response.set_is_supported(!request.grant_query().grantor().empty() && !haveForgottenSupport);
         response.set_budget_outcome(static_cast<std::uint32_t>(BudgetOutcome::Undetermined));
         co_return response;
     }
 
     std::set<std::string> called;
     std::string knowingHost;
-    bool hasLostGrants = false;
+    bool haveForgottenSupport = false; ///< the other hosts have restarted during the outage
     bool isImpaired = false;
 };
 
@@ -168,11 +167,11 @@
     CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome == BudgetOutcome::Undetermined);
 }
 
-TEST(BudgetLedger, nothingIsGrantedWithoutTheStoreOnceGrantsMayBeLost)
+TEST(BudgetLedger, nothingIsGrantedWithoutTheStoreByHostsThatMayHaveForgottenGrants)
 {
     store.isAway = true;
     peers.isImpaired = true;
-    peers.hasLostGrants = true;
+    peers.haveForgottenSupport = true;
     CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome == BudgetOutcome::Undetermined);
 }
 
--- /dev/null
+++ b/src/programs/tests/journalfleet.h
@@ -0,0 +1,324 @@
+#pragma once
+
+#include "framework/global/manualclock.h"
+#include "framework/global/systemclock.h"
+#include "programs/turnjournal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+
+// Hosts with their journals of turns, a store with the platform's limits, and calls between the hosts that can fail.
+
+namespace laburnummill::programs::testing {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::AsyncResult;
+using framework::Milliseconds;
+
+/// Rejects calls over its limits, and rows that it is told to reject.
+class LimitedStore final : public store::IStore
+{
+public:
+    static constexpr auto s_rowBytes = std::size_t{65'536};
+
+    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        auto bytes = std::size_t{0};
+        auto isRejected = transaction.puts.size() + transaction.conditions.size() + transaction.removals.size() > 100;
+        for (const auto& put : transaction.puts) {
+            bytes += put.value.size() * 4 / 3 + put.address.table.size() + put.address.key.size() + 60;
+            isRejected = isRejected || put.value.size() * 4 / 3 > s_rowBytes || put.address.key.size() > 200 || rejects(put);
+        }
+        if (isRejected || bytes > 1'000'000) {
+            ++rejections;
+            co_return store::StoreError::Rejected;
+        }
+        auto reply = store::TransactionReply{.isApplied = true, .version = 0, .currentRows = {}};
+        for (const auto& condition : transaction.conditions) {
+            const auto found = rows.find(condition.address);
+            reply.isApplied = reply.isApplied && condition.version == (found == rows.end() ? store::s_absentRow : found->second.version);
+            if (found != rows.end()) {
+                reply.currentRows.push_back(found->second);
+            }
+        }
+        if (reply.isApplied) {
+            reply.version = ++version;
+            for (const auto& put : transaction.puts) {
+                rows[put.address] = {.address = put.address, .value = put.value, .version = version};
+            }
+        }
+        co_return reply;
+    }
+
+    auto list(store::ListRequest request) -> AsyncResult<store::RowPage> override
+    {
+        if (isAway) {
+            co_return store::StoreError::Unavailable;
+        }
+        auto page = store::RowPage{.rows = {}, .version = version, .hasMore = false};
+        auto bytes = std::size_t{0};
+        for (const auto& [address, row] : rows) {
+            if (address.table != request.table || address.partition != request.partition || address.key < request.from ||
+                (!request.to.empty() && address.key >= request.to)) {
+                continue;
+            }
+            bytes += row.value.size() * 4 / 3;
+            if (page.rows.size() >= static_cast<std::size_t>(request.limit) || (bytes > 1'000'000 && !page.rows.empty())) {
+                page.hasMore = true;
+                break;
+            }
+            page.rows.push_back(row);
+        }
+        co_return page;
+    }
+
+    auto turns() const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(rows, [](const auto& row) { return row.first.table == "turns"; }));
+    }
+
+    bool isAway = false;
+    std::function<bool(const store::Put&)> rejects = [](const store::Put&) { return false; };
+    int rejections = 0;
+    std::uint64_t version = 0;
+    std::map<store::RowAddress, store::Row> rows;
+};
+
+class JournalFleet;
+
+/// One host's view of the others: it has heard all that were ever up, and reaches those that are not cut off.
+class JournalPeers final : public peers::IPeers
+{
+public:
+    JournalPeers(const JournalFleet& fleet, std::size_t number)
+        : m_fleet(fleet)
+        , m_number(number)
+    {}
+
+    auto reachableHosts() const -> std::vector<std::string> override;
+    auto home(std::string_view) const -> std::string override { return ownAddress(); }
+    auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
+    auto storeProxies() const -> std::vector<std::string> override { return {}; }
+    auto unreachableHosts() const -> int override { return 0; }
+    auto sightings() const -> std::vector<peers::HostSighting> override;
+    auto membershipSize() const -> int override { return 1; }
+    auto mayHaveForgottenSupport() const -> bool override { return false; }
+    auto wasStoreImpairedRecently() const -> bool override { return false; }
+    auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return false; }
+    auto addressOf(std::string_view, std::uint64_t) const -> std::string override { return {}; }
+    auto ownAddress() const -> std::string override { return std::to_string(m_number); }
+    auto ownIncarnation() const -> std::uint64_t override;
+    auto call(std::string address, peers::messages::Request request, Milliseconds timeout)
+        -> AsyncResult<peers::messages::Response> override;
+
+private:
+    const JournalFleet& m_fleet;
+    std::size_t m_number;
+};
+
+/// A store that a host reaches unless it is cut off.
+class StoreWay final : public store::IStore
+{
+public:
+    explicit StoreWay(LimitedStore& store)
+        : m_store(store)
+    {}
+
+    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
+    {
+        if (isCutOff) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return co_await m_store.transact(std::move(transaction));
+    }
+
+    auto list(store::ListRequest request) -> AsyncResult<store::RowPage> override
+    {
+        if (isCutOff) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return co_await m_store.list(std::move(request));
+    }
+
+    bool isCutOff = false;
+
+private:
+    LimitedStore& m_store;
+};
+
+struct JournalHost
+{
+    JournalHost(asio::io_context& context, const JournalFleet& fleet, LimitedStore& shared, const framework::IClock& clock,
+                std::size_t number, std::uint64_t incarnation)
+        : incarnation(incarnation)
+        , peers(fleet, number)
+        , store(shared)
+        , table(context.get_executor(), clock, std::to_string(number), incarnation)
+        , hosts(store, clock, {.host = "host-" + std::to_string(number), .address = std::to_string(number), .incarnation = incarnation})
+        , journal(context.get_executor(), table, store, peers, hosts, clock, 64 * 1024 * 1024)
+    {}
+
+    std::uint64_t incarnation;
+    bool isUp = true;
+    JournalPeers peers;
+    StoreWay store;
+    ProgramTable table;
+    HostRegister hosts;
+    TurnJournal journal;
+};
+
+class JournalFleet
+{
+public:
+    explicit JournalFleet(std::size_t size)
+    {
+        for (auto number = std::size_t{0}; number < size; ++number) {
+            hosts.push_back(std::make_shared<JournalHost>(context, *this, store, clock, number, 1));
+            enter(number);
+        }
+    }
+
+    auto enter(std::size_t number) -> void
+    {
+        run([this, number]() -> Async<void> { (void)co_await hosts[number]->hosts.enter(retention); });
+    }
+
+    /// Cuts a host off from the store and the other hosts.
+    auto setCutOff(std::size_t number, bool isCutOff) -> void { hosts[number]->store.isCutOff = isCutOff; }
+
+    auto mayCall(std::size_t from, std::size_t to) const -> bool
+    {
+        return hosts[to]->isUp && !hosts[from]->store.isCutOff && !hosts[to]->store.isCutOff;
+    }
+
+    auto kill(std::size_t number) -> void { hosts[number]->isUp = false; }
+
+    auto restart(std::size_t number) -> void
+    {
+        retired.push_back(hosts[number]);
+        hosts[number] = std::make_shared<JournalHost>(context, *this, store, clock, number, hosts[number]->incarnation + 1);
+        enter(number);
+    }
+
+    auto commit(std::size_t number, const std::string& id, std::string input = "input", const std::string& program = "p1") -> CommitOutcome
+    {
+        auto turn = std::make_shared<Turn>();
+        turn->id = id;
+        turn->account = "pub";
+        turn->program = program;
+        turn->input = std::move(input);
+        auto outcome = CommitOutcome::LocalOnly;
+        run([&]() -> Async<void> { outcome = co_await hosts[number]->journal.commit(turn, 100); });
+        return outcome;
+    }
+
+    auto find(std::size_t number, const std::string& id) -> TurnSearch
+    {
+        auto search = TurnSearch();
+        run([&]() -> Async<void> { search = co_await hosts[number]->journal.find(id, {.account = "pub", .program = "p1"}); });
+        return search;
+    }
+
+    /// Runs `work` to its end; what it leaves behind runs on later.
+    auto run(const std::function<Async<void>()>& work) -> void
+    {
+        auto isDone = false;
+        asio::co_spawn(
+            context,
+            [&]() -> Async<void> {
+                co_await work();
+                isDone = true;
+            },
+            asio::detached);
+        context.restart();
+        while (!isDone && context.run_one() > 0) {
+        }
+    }
+
+    auto runFor(Milliseconds time) -> void
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    static constexpr auto retention = Milliseconds(70'000);
+
+    asio::io_context context;
+    framework::SystemClock clock;
+    LimitedStore store;
+    std::vector<std::shared_ptr<JournalHost>> hosts;
+    std::vector<std::shared_ptr<JournalHost>> retired;
+};
+
+inline auto JournalPeers::reachableHosts() const -> std::vector<std::string>
+{
+    auto addresses = std::vector<std::string>();
+    for (auto other = std::size_t{0}; other < m_fleet.hosts.size(); ++other) {
+        if (other != m_number && m_fleet.mayCall(m_number, other)) {
+            addresses.push_back(std::to_string(other));
+        }
+    }
+    return addresses;
+}
+
+inline auto JournalPeers::replicaHosts(std::string_view) const -> std::vector<std::string>
+{
+    auto addresses = reachableHosts();
+    addresses.resize(std::min(addresses.size(), std::size_t{2}));
+    return addresses;
+}
+
+inline auto JournalPeers::sightings() const -> std::vector<peers::HostSighting>
+{
+    auto found = std::vector<peers::HostSighting>();
+    for (auto other = std::size_t{0}; other < m_fleet.hosts.size(); ++other) {
+        if (other != m_number) {
+            found.push_back({.address = std::to_string(other),
+                             .host = "host-" + std::to_string(other),
+                             .incarnation = m_fleet.hosts[other]->incarnation,
+                             .isRegistered = true,
+                             .heardAt = m_fleet.clock.now()});
+        }
+    }
+    return found;
+}
+
+inline auto JournalPeers::ownIncarnation() const -> std::uint64_t
+{
+    return m_fleet.hosts[m_number]->incarnation;
+}
+
+inline auto JournalPeers::call(std::string address, peers::messages::Request request, Milliseconds)
+    -> AsyncResult<peers::messages::Response>
+{
+    const auto number = static_cast<std::size_t>(std::stoul(address));
+    co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+    if (!m_fleet.mayCall(m_number, number)) {
+        co_return peers::PeerError::Unreachable;
+    }
+    auto& host = *m_fleet.hosts[number];
+    auto response = peers::messages::Response();
+    response.set_incarnation(host.incarnation);
+    if (request.has_kept_turns()) {
+        const auto& kept = request.kept_turns();
+        host.journal.holdReplicas(kept.origin(), kept.origin_incarnation(), {kept.records().begin(), kept.records().end()});
+    }
+    for (const auto& id : request.turn_query().ids()) {
+        if (const auto turn = host.journal.findLocal(id)) {
+            response.add_turns(encodeTurn(*turn));
+        }
+    }
+    co_return response;
+}
+
+} // namespace laburnummill::programs::testing
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -55,18 +55,21 @@
 } // namespace
 
 TurnJournal::TurnJournal(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                         const framework::IClock& clock, std::size_t cacheBytes)
+                         HostRegister& hosts, const framework::IClock& clock, std::size_t cacheBytes)
     : m_executor(std::move(executor))
     , m_table(table)
     , m_store(store)
     , m_peers(peers)
+    , m_hosts(hosts)
     , m_clock(clock)
+    , m_startedAt(clock.now())
     , m_cache(cacheBytes)
 {}
 
 auto TurnJournal::commit(TurnPtr turn, std::uint64_t maxTokens) -> Async<CommitOutcome>
 {
     m_cache.put(turn);
+    m_pending[turn->id] = turn;
     const auto write = std::make_shared<PendingWrite>(m_executor);
     write->turn = turn;
     write->record = encodeTurn(*turn);
@@ -207,6 +210,7 @@
         write->isStored = true;
         m_unwritten -= write->isReplicating ? 1 : 0;
         m_unwrittenBytes -= write->record.size();
+        m_pending.erase(write->turn->id);
         write->changed.cancel();
     }
     return true;
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -4,7 +4,9 @@
 #include "framework/global/iclock.h"
 #include "framework/global/nametable.h"
 #include "peers/ipeers.h"
+#include "programs/hostregister.h"
 #include "programs/programtable.h"
+#include "programs/turnabsence.h"
 #include "store/istore.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -41,7 +43,11 @@
 {
 public:
     TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                const framework::IClock& clock, std::size_t cacheBytes);
+                HostRegister& hosts, const framework::IClock& clock, std::size_t cacheBytes);
+
+    /// Sets for how long turns are retained; the default is one minute and some seconds for clock differences between hosts.
+    auto setRetention(framework::Milliseconds retention) -> void { m_retention = retention; }
+    auto retention() const -> framework::Milliseconds { return m_retention; }
 
     /// Stores a turn, and its program's token counts if they are due; `maxTokens` is the most that one of its turns may generate.
     /// Returns when the turn is stored; if the store is slow, when it is replicated to other hosts or after a time-out.
@@ -133,6 +139,13 @@
         std::vector<std::pair<ProgramPtr, RowChange>> programs;
     };
 
+    /// What the other hosts answered to a query for a turn.
+    struct PeerSearch
+    {
+        TurnPtr turn;
+        std::set<HostIncarnation> answered; ///< hosts that do not have it
+    };
+
     auto writeQueued(std::uint32_t partition) -> framework::Async<void>;
     auto replicate(PendingWritePtr write) -> void;
     auto replicateTo(std::string address, PendingWritePtr write) -> framework::Async<void>;
@@ -144,7 +157,9 @@
     auto findAncestor(Ancestor ancestor) -> framework::Async<TurnPtr>;
     auto cacheTurns(const peers::messages::Response& response) -> void;
     auto queryHome(std::string program, std::vector<std::string> ids) -> framework::Async<void>;
-    auto queryPeers(std::string id) -> framework::Async<TurnSearch>;
+    auto queryPeers(std::string id) -> framework::Async<PeerSearch>;
+    /// Whether a turn that neither the store nor a host of `answered` has certainly does not exist.
+    auto isAbsent(const std::string& id, std::set<HostIncarnation> answered) -> framework::Async<bool>;
 
     /// Starts to read a row; returns when the store has answered, or after a time-out with the read still running.
     auto readWithTimeout(std::string id, std::uint32_t partition) -> framework::Async<RowReadPtr>;
@@ -153,8 +168,12 @@
     ProgramTable& m_table;
     store::IStore& m_store;
     peers::IPeers& m_peers;
+    HostRegister& m_hosts;
     const framework::IClock& m_clock;
+    framework::Instant m_startedAt;
+    framework::Milliseconds m_retention{70'000};
     TurnCache m_cache;
+    std::map<std::string, TurnPtr, std::less<>> m_pending; ///< turns of this host that are not in the store yet, by id
     std::array<PartitionQueue, s_partitionCount> m_partitionQueues;
     std::map<std::string, Replica, std::less<>> m_replicas;
     std::size_t m_unwritten = 0;
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -1,3 +1,4 @@
+#include "framework/logging/log.h"
 #include "peers/callall.h"
 #include "programs/turnjournal.h"
 
@@ -70,6 +71,9 @@
     if (auto turn = m_cache.find(id)) {
         return turn;
     }
+    if (const auto pending = m_pending.find(id); pending != m_pending.end()) {
+        return pending->second;
+    }
     const auto replica = m_replicas.find(id);
     return replica == m_replicas.end() ? nullptr : decodeTurn(replica->second.record);
 }
@@ -88,9 +92,9 @@
     if (read->turn) {
         co_return TurnSearch{.turn = read->turn, .isCertain = true};
     }
-    const auto others = co_await queryPeers(id);
+    auto others = co_await queryPeers(id);
     if (others.turn) {
-        co_return others;
+        co_return TurnSearch{.turn = std::move(others.turn), .isCertain = true};
     }
     if (!read->hasEnded) {
         co_await read->ended.wait(s_searchTimeout);
@@ -99,8 +103,34 @@
         co_return TurnSearch{.turn = read->turn, .isCertain = false};
     }
     const auto row = co_await readFromAnyPartition(id, likelyPartition);
-    const auto isAbsent = row && !row.value();
-    co_return TurnSearch{.turn = row ? row.value() : nullptr, .isCertain = isAbsent && others.isCertain};
+    if (!row || row.value()) {
+        co_return TurnSearch{.turn = row ? row.value() : nullptr, .isCertain = false};
+    }
+    co_return TurnSearch{.turn = nullptr, .isCertain = co_await isAbsent(id, std::move(others.answered))};
+}
+
+auto TurnJournal::isAbsent(const std::string& id, std::set<HostIncarnation> answered) -> Async<bool>
+{
+    answered.emplace(m_peers.ownAddress(), m_peers.ownIncarnation());
+    auto registered = co_await m_hosts.read();
+    auto evidence = AbsenceEvidence{.registered = std::nullopt,
+                                    .sightings = m_peers.sightings(),
+                                    .answered = std::move(answered),
+                                    .now = m_clock.now(),
+                                    .startedAt = m_startedAt,
+                                    .wallMilliseconds = static_cast<std::uint64_t>(framework::unixMilliseconds(m_clock.wallTime())),
+                                    .turnRetention = m_retention};
+    if (registered) {
+        evidence.registered = std::move(registered.value());
+    }
+    const auto verdict = judgeAbsence(evidence);
+    framework::logEvent(framework::LogLevel::Info, "programs", "turn_not_found",
+                        {{"turn", id},
+                         {"doubt", framework::nameOf(s_absenceDoubtNames, verdict.doubt)},
+                         {"host", verdict.host},
+                         {"hostsAsked", evidence.answered.size()},
+                         {"hostsRegistered", evidence.registered ? evidence.registered->size() : 0}});
+    co_return verdict.doubt == AbsenceDoubt::None;
 }
 
 auto TurnJournal::readWithTimeout(std::string id, std::uint32_t partition) -> Async<RowReadPtr>
@@ -145,20 +175,25 @@
     }
 }
 
-auto TurnJournal::queryPeers(std::string id) -> Async<TurnSearch>
+auto TurnJournal::queryPeers(std::string id) -> Async<PeerSearch>
 {
     auto request = peers::messages::Request();
     request.mutable_turn_query()->add_ids(id);
-    // Evaluated before the query: a host that becomes reachable during the query was not queried.
-    const auto mayBeUnknown = m_peers.mayHaveUnknownTurns();
-    const auto addresses = m_peers.reachableHosts();
-    const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout,
+    const auto answers = co_await peers::callAll(m_peers, m_peers.reachableHosts(), std::move(request), s_queryTimeout,
                                                  [](const auto& response) { return response.turns_size() > 0; });
+    auto search = PeerSearch();
+    const auto sightings = m_peers.sightings();
     for (const auto& response : answers.responses) {
         cacheTurns(response);
+        auto incarnation = response.incarnation();
+        if (incarnation == 0) { // A host of an earlier release.
+            const auto sighting = std::ranges::find(sightings, response.address(), &peers::HostSighting::address);
+            incarnation = sighting == sightings.end() ? 0 : sighting->incarnation;
+        }
+        search.answered.emplace(response.address(), incarnation);
     }
-    // A host that does not answer may hold turns that are not in the store.
-    co_return TurnSearch{.turn = findLocal(id), .isCertain = answers.failed == 0 && !mayBeUnknown};
+    search.turn = findLocal(id);
+    co_return search;
 }
 
 auto TurnJournal::findAncestor(Ancestor ancestor) -> Async<TurnPtr>
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -35,9 +35,15 @@
 
 constexpr auto s_stopPoll = Milliseconds(50);
 constexpr auto s_stopLogInterval = Milliseconds(1'000);
+/// Within the time that ShutdownSchedule leaves for the exit of the process.
+constexpr auto s_departureTimeout = Milliseconds(400);
+
 constexpr auto s_announceRetry = Milliseconds(1'000);
 constexpr auto s_hostRows = 500;
 
+constexpr auto s_defaultRetention = Milliseconds(60'000);
+constexpr auto s_clockAllowance = Milliseconds(10'000);
+
 auto newIncarnation() -> std::uint64_t
 {
     // The wall clock orders the starts of one host; random bits distinguish starts within the clock's resolution.
@@ -50,6 +56,16 @@
     return static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * s_turnMemoryShare);
 }
 
+/// The longest time for which a route retains turns, and an allowance for clock differences of a few seconds between hosts.
+auto turnRetention(const routing::FleetConfiguration& configuration) -> Milliseconds
+{
+    auto longest = s_defaultRetention;
+    for (const auto& route : configuration.routes) {
+        longest = std::max(longest, route.keepsTurns ? Milliseconds(route.retention) : Milliseconds(0));
+    }
+    return longest + s_clockAllowance;
+}
+
 } // namespace
 
 EntryHost::EntryHost(asio::io_context& context, HostSettings settings, framework::Metrics& metrics, const ExternalInterfaces& external)
@@ -70,7 +86,9 @@
     , m_link(context.get_executor(), m_settings, m_incarnation, m_clock, m_metrics, m_shared)
     , m_store(external.store, m_link, m_clock)
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
-    , m_journal(context.get_executor(), m_programs, m_store, m_link, m_clock, turnMemory(m_settings))
+    , m_register(m_store, m_clock, {.host = m_settings.host, .address = m_settings.peerAddress, .incarnation = m_incarnation})
+    , m_journal(context.get_executor(), m_programs, m_store, m_link, m_register, m_clock,
+                turnMemory(m_settings))
     , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock,
                 m_settings.overloadControl == OverloadControl::ByPrograms ? programs::TokenRequests::InAdvance
                                                                           : programs::TokenRequests::PerTurn)
@@ -227,6 +245,7 @@
         return;
     }
     m_limitsVersion = routes->version();
+    m_journal.setRetention(turnRetention(routes->configuration()));
     auto names = std::set<std::string>();
     for (const auto& account : routes->configuration().accounts) {
         names.insert(account.name);
@@ -259,7 +278,11 @@
                 m_link.addHost(row.value);
             }
         }
-        if (written && hosts) {
+        const auto isRegistered = co_await m_register.enter(m_journal.retention());
+        if (isRegistered) {
+            m_link.markRegistered();
+        }
+        if (written && hosts && isRegistered) {
             co_return;
         }
         timer.expires_after(s_announceRetry);
@@ -277,8 +300,8 @@
     while (!m_shutdown.mustEnd(m_clock.now())) {
         const auto haveBalancersNoticed = m_shutdown.haveBalancersNoticed(m_clock.now());
         const auto areCallersClosed = haveBalancersNoticed && closeIdleCallers();
-        if (areCallersClosed && m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0 &&
-            m_budgets.openTransfers() == 0) {
+        if (areCallersClosed && isDrained()) {
+            co_await depart();
             break;
         }
         if (m_clock.now() >= nextLogAt) {
@@ -293,6 +316,35 @@
     m_context.stop();
 }
 
+auto EntryHost::isDrained() const -> bool
+{
+    return m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0 && m_budgets.openTransfers() == 0;
+}
+
+auto EntryHost::depart() -> Async<void>
+{
+    m_shutdown.end(); // A turn that is accepted from now on would not be covered by the record.
+    if (m_journal.unwritten() > 0) {
+        co_return;
+    }
+    m_link.announceEnd();
+    struct Departure
+    {
+        framework::Signal ended;
+        bool isRecorded = false;
+    };
+    const auto departure = std::make_shared<Departure>(Departure{.ended = framework::Signal(m_context.get_executor())});
+    asio::co_spawn(
+        m_context,
+        [this, departure]() -> Async<void> {
+            departure->isRecorded = co_await m_register.leave();
+            departure->ended.notify();
+        },
+        asio::detached);
+    co_await departure->ended.wait(s_departureTimeout);
+    framework::logEvent(LogLevel::Info, "serving", "departed", {{"isRecorded", departure->isRecorded}});
+}
+
 auto EntryHost::stopWaitReason(bool haveBalancersNoticed, bool areCallersClosed) const -> std::string_view
 {
     if (m_callerContext.openRequests > 0) {
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -50,8 +50,13 @@
     /// Writes the records to the store that could not be written while it was unreachable.
     auto flushToStore() -> framework::Async<void>;
     auto logLoop() -> framework::Async<void>;
+    /// Makes this host known in the store, and other hosts known to this one.
     auto announce() -> framework::Async<void>;
     auto drainAndStop() -> framework::Async<void>;
+    /// Whether the store has everything that this host holds, and no requests or transfers are in progress.
+    auto isDrained() const -> bool;
+    /// Records that this host ends with everything stored.
+    auto depart() -> framework::Async<void>;
     /// What a stopping host still waits for.
     auto stopWaitReason(bool haveBalancersNoticed, bool areCallersClosed) const -> std::string_view;
     auto logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void;
@@ -77,6 +82,7 @@
     FleetLink m_link;
     store::RoutedStore m_store;
     programs::ProgramTable m_programs;
+    programs::HostRegister m_register;
     programs::TurnJournal m_journal;
     programs::BudgetLedger m_budgets;
     StoreWatcher m_storeWatcher;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -39,12 +39,8 @@
 /// Hosts that were partitioned or could not reach the store record the tokens they granted within this time after recovery.
 constexpr auto s_storeImpairedRetention = Milliseconds(10'000);
 
-/// The platform's routes retain turns for one minute; the rest allows for clock differences of a few seconds between hosts.
-constexpr auto s_turnRetention = Milliseconds(70'000);
-
-/// While the store is unreachable, a turn is held by the host that ran it and two others.
-constexpr auto s_turnHolders = 3;
-constexpr auto s_replicaHosts = std::size_t{s_turnHolders - 1};
+/// While the store is unreachable, a turn is held by the host that ran it and this many others.
+constexpr auto s_replicaHosts = std::size_t{2};
 
 /// Number of addresses in one heartbeat; enough for a new host to learn all addresses soon.
 constexpr auto s_addressesPerHeartbeat = std::size_t{8};
@@ -94,6 +90,12 @@
     sendToAll();
 }
 
+auto FleetLink::announceEnd() -> void
+{
+    m_hasEnded = true;
+    sendToAll();
+}
+
 auto FleetLink::isIsolated() const -> bool
 {
     if (m_state.store->directWay().isSound()) {
@@ -198,6 +200,8 @@
     heartbeat.set_address(m_settings.peerAddress);
     heartbeat.set_is_ready(m_isReady);
     heartbeat.set_is_leaving(m_isLeaving);
+    heartbeat.set_has_ended(m_hasEnded);
+    heartbeat.set_is_registered(m_isRegistered);
     heartbeat.set_lacks_servers(m_state.connector->isCutOff());
     heartbeat.set_reaches_store(m_state.store->directWay().isSound());
     heartbeat.set_configuration_version(m_state.fleetState.routes() ? m_state.fleetState.routes()->version() : 0);
@@ -389,27 +393,14 @@
     return ordered;
 }
 
-auto FleetLink::isAnyHostUnreachable() const -> bool
+auto FleetLink::unreachableHosts() const -> int
 {
-    return !m_suspects.empty() || m_table.reachableFraction(m_clock.now()) < 1;
+    return m_table.countUnreachable(m_suspects, m_clock.now());
 }
 
-auto FleetLink::mayHaveUnknownTurns() const -> bool
+auto FleetLink::sightings() const -> std::vector<peers::HostSighting>
 {
-    const auto now = m_clock.now();
-    const auto since = static_cast<std::uint64_t>(framework::unixMilliseconds(m_clock.wallTime() - s_turnRetention));
-    const auto ownRestarts = !m_settings.isFirstStart && m_startedAt > since ? 1 : 0;
-    const auto restarted = m_table.countRestartedSince(since, now) + ownRestarts;
-    return !m_suspects.empty() || m_table.isAnyHostUnaccountedFor(now) || restarted >= s_turnHolders;
-}
-
-auto FleetLink::mayHaveLostGrants() const -> bool
-{
-    const auto now = m_clock.now();
-    if (mayHaveForgottenSupport()) {
-        return mayHaveUnknownTurns(); // This host started during the outage and knows of no earlier restarts.
-    }
-    return m_table.countRestartsSeenSince(m_storeOutageSince, now) >= s_turnHolders;
+    return m_table.sightings();
 }
 
 auto FleetLink::mayHaveForgottenSupport() const -> bool
@@ -430,14 +421,11 @@
 auto FleetLink::recordStoreImpairment() -> void
 {
     const auto lacksStore = [](const auto* peer) { return !peer->last.reaches_store() || peer->last.unwritten_turns() > 0; };
-    const auto isImpaired = !m_state.store->directWay().isSound() || m_state.journal->unwritten() > 0 || isAnyHostUnreachable() ||
+    const auto isImpaired = !m_state.store->directWay().isSound() || m_state.journal->unwritten() > 0 || unreachableHosts() > 0 ||
                             std::ranges::any_of(m_table.reachablePeers(m_clock.now()), lacksStore);
     if (isImpaired) {
         m_storeImpairedAt = m_clock.now();
     }
-    if (m_state.store->directWay().isSound()) {
-        m_storeOutageSince = m_clock.now();
-    }
 }
 
 auto FleetLink::hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -66,15 +66,20 @@
     /// Immediately announces to all peers that this host is leaving.
     auto announceLeave() -> void;
 
+    /// Announces to all peers that this host ends now, with everything stored.
+    auto announceEnd() -> void;
+
+    /// The register of hosts in the store has this incarnation.
+    auto markRegistered() -> void { m_isRegistered = true; }
+
     auto reachableHosts() const -> std::vector<std::string> override;
     auto home(std::string_view program) const -> std::string override;
     auto replicaHosts(std::string_view program) const -> std::vector<std::string> override;
     auto storeProxies() const -> std::vector<std::string> override;
     auto serverRelays() const -> std::vector<std::string> override;
     auto isServerRelay(std::string_view address) const -> bool override;
-    auto isAnyHostUnreachable() const -> bool override;
-    auto mayHaveUnknownTurns() const -> bool override;
-    auto mayHaveLostGrants() const -> bool override;
+    auto unreachableHosts() const -> int override;
+    auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return m_table.membershipSize(); }
     auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
@@ -134,8 +139,9 @@
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
     framework::Instant m_backendsRefreshedAt{};
     framework::Instant m_storeImpairedAt{};
-    framework::Instant m_storeOutageSince{}; ///< last time at which the direct way to the store worked
     bool m_isReady = false;
+    bool m_isRegistered = false;
+    bool m_hasEnded = false;
     bool m_isLeaving = false;
     bool m_isStopped = false;
     bool m_isFetching[2] = {false, false};
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -70,6 +70,7 @@
 auto FleetLink::onRequest(messages::Request request) -> Async<messages::Response>
 {
     auto response = messages::Response();
+    response.set_incarnation(m_incarnation);
     switch (request.body_case()) {
     case messages::Request::kTransaction:
     case messages::Request::kListing:
@@ -97,7 +98,10 @@
     case messages::Request::kGrantQuery: {
         const auto& query = request.grant_query();
         const auto replicated = m_state.journal->replicaTokens({.account = query.account(), .program = query.program()});
-        co_return co_await m_state.budgets->answer(query, replicated);
+        response = co_await m_state.budgets->answer(query, replicated);
+        response.set_incarnation(m_incarnation);
+        response.set_membership(static_cast<std::uint32_t>(membershipSize()));
+        break;
     }
     case messages::Request::kRelayQuery: // Changes what the connection carries, so that the transport handles it.
     case messages::Request::BODY_NOT_SET:
--- a/src/serving/shutdownschedule.cpp
+++ b/src/serving/shutdownschedule.cpp
@@ -27,7 +27,7 @@
 
 auto ShutdownSchedule::mayAccept(Instant deadline) const -> bool
 {
-    return !m_hasBegun || deadline + s_completionReserve <= m_end;
+    return !m_hasBegun || (!m_hasEnded && deadline + s_completionReserve <= m_end);
 }
 
 } // namespace laburnummill::serving
--- a/src/serving/shutdownschedule.h
+++ b/src/serving/shutdownschedule.h
@@ -14,6 +14,9 @@
     /// Starts the shutdown; the process is killed at `now` + `gracePeriod`.
     auto begin(framework::Instant now, framework::Milliseconds gracePeriod) -> void;
 
+    /// From now on no request may be accepted.
+    auto end() -> void { m_hasEnded = true; }
+
     auto hasBegun() const -> bool { return m_hasBegun; }
 
     /// Whether a request that ends by `deadline` may be accepted: the host ends later.
@@ -27,6 +30,7 @@
 
 private:
     bool m_hasBegun = false;
+    bool m_hasEnded = false;
     framework::Instant m_noticedAt{};
     framework::Instant m_end{};
 };
