A turn of any allowed size is stored, and a row that is rejected delays no other

Cause: a turn was one row whatever its size, and every answer of the store but 200 and 412 counted as one that passes. A rejected batch stayed at the head of its partition's queue and was repeated for ever, the hosts with copies stopped at the first one that was rejected, and RoutedStore took a rejection for a broken way to the store and asked two other hosts. A batch of more than 33 turns of distinct programs had over 100 entries and met the same.

Batches count entries and bytes as the store does. A rejected batch is tried turn by turn, and one that is rejected by itself is retried apart from its queue, ever more rarely, until its retention is over. Ids that cannot be keys are refused with 400 and inputs over 6 MiB with 413 before anything runs; limits of the configuration are below that. Answers to queries for turns keep to the size of a message between hosts: a larger one made its sender a suspect.

Without the division, aTurnThatExceedsARowIsStored cannot pass: the store of the test rejects rows and calls over the platform's limits.

--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -165,7 +165,7 @@
         , store(shared)
         , table(context.get_executor(), clock, std::to_string(number), incarnation)
         , hosts(store, clock, {.host = "host-" + std::to_string(number), .address = std::to_string(number), .incarnation = incarnation})
-        , journal(context.get_executor(), table, store, peers, hosts, clock, 64 * 1024 * 1024)
+        , journal(context.get_executor(), table, store, peers, hosts, clock, {.cacheBytes = 64 * 1024 * 1024})
     {}
 
     std::uint64_t incarnation;
--- /dev/null
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -0,0 +1,108 @@
+#include "programs/tests/journalfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnummill::programs;
+using namespace laburnummill::programs::testing;
+
+TEST_GROUP(TurnJournal)
+{
+    JournalFleet fleet{3};
+
+    /// Whether a host without memory finds the turn with this input.
+    auto isKept(const std::string& id, const std::string& input)->bool
+    {
+        fleet.restart(2);
+        const auto found = fleet.find(2, id).turn;
+        return found && found->input == input;
+    }
+
+    auto isStoredIn(Milliseconds time, std::size_t turns)->bool
+    {
+        for (auto waited = Milliseconds(0); waited < time && fleet.store.turns() < turns; waited += Milliseconds(50)) {
+            fleet.runFor(Milliseconds(50));
+        }
+        return fleet.store.turns() >= turns;
+    }
+};
+
+// Guards against the loss of review/3: a turn that exceeds a row was never stored.
+TEST(TurnJournal, aTurnThatExceedsARowIsStored)
+{
+    for (const auto bytes : {49'000U, 70'000U, 4'194'304U}) {
+        const auto id = "t" + std::to_string(bytes);
+        const auto input = std::string(bytes, 'x');
+        fleet.commit(0, id, input);
+        CHECK_TRUE(isStoredIn(Milliseconds(2'000), 1));
+        CHECK_TRUE(isKept(id, input));
+    }
+    CHECK_EQUAL(0, fleet.store.rejections);
+}
+
+TEST(TurnJournal, aDividedTurnOfWhichPartsAreMissingIsNotTakenForWhole)
+{
+    fleet.commit(0, "t1", std::string(200'000, 'x'));
+    CHECK_TRUE(isStoredIn(Milliseconds(2'000), 1));
+    const auto part = std::ranges::find_if(fleet.store.rows, [](const auto& row) { return row.first.table == "turnparts"; });
+    fleet.store.rows.erase(part);
+    fleet.hosts.erase(fleet.hosts.begin(), fleet.hosts.begin() + 2);
+    fleet.restart(0);
+    const auto search = fleet.find(0, "t1");
+    CHECK_TRUE(!search.turn && !search.isCertain);
+}
+
+// Guards against the loss of review/3: a rejected row stayed at the head of its queue and was repeated for ever.
+TEST(TurnJournal, aTurnThatTheStoreRejectsDoesNotHoldUpOthersOfItsPartition)
+{
+    fleet.store.rejects = [](const auto& put) { return put.address.key == "bad"; };
+    fleet.store.isAway = true;
+    for (const auto* id : {"t1", "bad", "t2"}) {
+        CHECK_TRUE(fleet.commit(0, id) == CommitOutcome::Replicated);
+    }
+    fleet.store.isAway = false;
+    CHECK_TRUE(isStoredIn(Milliseconds(2'000), 2));
+    CHECK_TRUE(fleet.commit(0, "t3") == CommitOutcome::Stored);
+    CHECK_TRUE(fleet.find(2, "bad").turn != nullptr); // Hosts still hold it.
+    CHECK_FALSE(fleet.hosts[0]->journal.isWriting());
+    fleet.store.rejects = [](const auto&) { return false; };
+    CHECK_TRUE(isStoredIn(Milliseconds(4'000), 4));
+    CHECK_EQUAL(0U, fleet.hosts[0]->journal.unwritten());
+}
+
+TEST(TurnJournal, aRejectedCopyDoesNotHoldUpTheOthers)
+{
+    fleet.store.rejects = [](const auto& put) { return put.address.key == "a-bad"; };
+    fleet.setCutOff(0, false);
+    fleet.store.isAway = true;
+    for (const auto* id : {"a-bad", "b-good", "c-good"}) {
+        fleet.commit(0, id);
+    }
+    fleet.kill(0);
+    fleet.hosts[0]->store.isCutOff = true;
+    fleet.store.isAway = false;
+    fleet.runFor(Milliseconds(3'100));
+    fleet.run([this]() -> Async<void> { co_await fleet.hosts[1]->journal.writeOverdueReplicas(); });
+    CHECK_EQUAL(2U, fleet.store.turns());
+    CHECK_TRUE(fleet.hosts[1]->journal.findLocal("a-bad") != nullptr);
+}
+
+// Guards against batches of more entries than the store accepts, after an outage.
+TEST(TurnJournal, aBatchOfManyProgramsKeepsToTheLimitsOfACall)
+{
+    fleet.store.isAway = true;
+    auto committed = std::size_t{0};
+    for (auto number = 0; committed < 40; ++number) {
+        const auto program = "p" + std::to_string(number);
+        const auto key = ProgramKey{.account = "pub", .program = program};
+        if (partitionOf(key) != 0) {
+            continue;
+        }
+        ProgramTable::limitBudget(*fleet.hosts[0]->table.program(key), 1'000);
+        fleet.hosts[0]->table.program(key)->unrecordedTokens = 10;
+        fleet.commit(0, "t" + std::to_string(number), std::string(20'000, 'x'), program);
+        ++committed;
+    }
+    fleet.store.isAway = false;
+    CHECK_TRUE(isStoredIn(Milliseconds(3'000), committed));
+    CHECK_EQUAL(0, fleet.store.rejections);
+}
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -22,10 +22,6 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-/// The store accepts at most 100 entries and 1 MB per transaction, including base64 encoding and names.
-constexpr auto s_maxBatchTurns = std::size_t{50};
-constexpr auto s_maxBatchBytes = std::size_t{600'000};
-
 /// The store answers a write in about 10 ms; after this time-out it counts as slow and the turn is replicated as well.
 constexpr auto s_storeTimeout = Milliseconds(40);
 
@@ -38,6 +34,20 @@
 
 constexpr auto s_retryInterval = Milliseconds(250);
 
+/// A turn that the store rejects is tried again after this time, which doubles with each further rejection.
+constexpr auto s_firstRejectionRetry = Milliseconds(1'000);
+constexpr auto s_maxRejectionDoublings = 5;
+
+/// More rejected turns than this are not kept.
+constexpr auto s_maxRejectedBytes = std::size_t{4 * 1024 * 1024};
+
+/// Entries of a turn's row and, if its program's row is written as well, of that row and its condition.
+/// Allowance for a program's row in a batch.
+constexpr auto s_programRowBytes = std::size_t{2'000};
+
+constexpr auto s_turnEntries = std::size_t{1};
+constexpr auto s_programEntries = std::size_t{2};
+
 /// The home host answers from memory, in the same data centre.
 constexpr auto s_homeTimeout = Milliseconds(100);
 
@@ -52,18 +62,25 @@
     return programs::partitionOf(ProgramKey{.account = turn.account, .program = turn.program});
 }
 
+auto logNotStored(std::size_t turns, const std::error_code& error) -> void
+{
+    framework::logEvent(framework::LogLevel::Warning, "programs", "turns_not_stored",
+                        {{"turns", turns}, {"reason", framework::codeOf(error)}});
+}
+
 } // namespace
 
 TurnJournal::TurnJournal(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                         HostRegister& hosts, const framework::IClock& clock, std::size_t cacheBytes)
+                         HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits)
     : m_executor(std::move(executor))
     , m_table(table)
     , m_store(store)
     , m_peers(peers)
     , m_hosts(hosts)
     , m_clock(clock)
+    , m_rowBytes(limits.rowBytes)
     , m_startedAt(clock.now())
-    , m_cache(cacheBytes)
+    , m_cache(limits.cacheBytes)
 {}
 
 auto TurnJournal::commit(TurnPtr turn, std::uint64_t maxTokens) -> Async<CommitOutcome>
@@ -73,13 +90,14 @@
     const auto write = std::make_shared<PendingWrite>(m_executor);
     write->turn = turn;
     write->record = encodeTurn(*turn);
+    write->rows = rowsOf(*turn, write->record, m_rowBytes);
     m_unwrittenBytes += write->record.size();
     write->maxTokens = maxTokens;
-    const auto partition = partitionOf(*turn);
-    m_partitionQueues[partition].waiting.push_back(write);
-    if (!m_partitionQueues[partition].isBusy) {
-        m_partitionQueues[partition].isBusy = true;
-        asio::co_spawn(m_executor, writeQueued(partition), asio::detached);
+    write->since = m_clock.now();
+    if (write->rows.parts.empty()) {
+        enqueue(write);
+    } else {
+        asio::co_spawn(m_executor, writeParts(write), asio::detached);
     }
     auto ignored = boost::system::error_code();
     if (!m_isStoreSlow) {
@@ -101,6 +119,36 @@
     co_return write->replicas > 0 ? CommitOutcome::Replicated : CommitOutcome::LocalOnly;
 }
 
+auto TurnJournal::enqueue(PendingWritePtr write) -> void
+{
+    const auto partition = partitionOf(*write->turn);
+    auto& queue = m_partitionQueues[partition];
+    queue.waiting.push_back(std::move(write));
+    if (!queue.isBusy) {
+        queue.isBusy = true;
+        asio::co_spawn(m_executor, writeQueued(partition), asio::detached);
+    }
+}
+
+auto TurnJournal::writeParts(PendingWritePtr write) -> Async<void>
+{
+    for (auto& transaction : transactionsOf(write->rows.parts)) {
+        while (true) {
+            const auto reply = co_await m_store.transact(transaction);
+            if (reply) {
+                break;
+            }
+            logNotStored(1, reply.error());
+            if (reply.error() == store::StoreError::Rejected) {
+                co_return onRejected(write);
+            }
+            auto pause = asio::steady_timer(m_executor, s_retryInterval);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+    enqueue(std::move(write));
+}
+
 auto TurnJournal::replicate(PendingWritePtr write) -> void
 {
     write->isReplicating = true;
@@ -142,14 +190,19 @@
 auto TurnJournal::composeBatch(const PartitionQueue& queue) -> Batch
 {
     auto batch = Batch();
-    auto bytes = std::size_t{0};
+    auto size = CallSize();
     for (const auto& write : queue.waiting) {
-        bytes += write->record.size();
-        if (!batch.writes.empty() && (batch.writes.size() >= s_maxBatchTurns || bytes > s_maxBatchBytes)) {
+        const auto bytes = CallSize::bytesOf(write->rows.head.value.size()) + CallSize::bytesOf(s_programRowBytes);
+        const auto isLast = write->isAlone || !size.fits(bytes, s_turnEntries + s_programEntries);
+        if (!batch.writes.empty() && isLast) {
             break;
         }
+        size.add(bytes, s_turnEntries + s_programEntries);
         batch.writes.push_back(write);
-        batch.transaction.puts.push_back({.address = turnRow(write->turn->id, partitionOf(*write->turn)), .value = write->record});
+        batch.transaction.puts.push_back(write->rows.head);
+        if (write->isAlone) {
+            break;
+        }
         addProgram(batch, write);
     }
     return batch;
@@ -196,10 +249,17 @@
         program->changed.notify();
     }
     if (!reply) {
-        // Rows of turns never change, so a write of unknown outcome can be repeated.
-        framework::logEvent(framework::LogLevel::Warning, "programs", "turns_not_stored",
-                            {{"turns", batch.writes.size()}, {"reason", framework::codeOf(reply.error())}});
-        return false;
+        logNotStored(batch.writes.size(), reply.error());
+        if (reply.error() != store::StoreError::Rejected) {
+            return false; // Rows of turns never change, so a write of unknown outcome can be repeated.
+        }
+        if (batch.writes.size() == 1 && batch.programs.empty()) {
+            m_partitionQueues[partitionOf(*batch.writes.front()->turn)].waiting.pop_front();
+            onRejected(batch.writes.front());
+        }
+        // Another attempt would be rejected as well. Each turn by itself shows which one is at fault.
+        std::ranges::for_each(batch.writes, [](const auto& write) { write->isAlone = true; });
+        return true;
     }
     if (!isStored) {
         return true; // Another host wrote a program's row meanwhile; the next attempt uses the new version.
@@ -208,14 +268,64 @@
     for (const auto& write : batch.writes) {
         queue.waiting.pop_front();
         write->isStored = true;
-        m_unwritten -= write->isReplicating ? 1 : 0;
-        m_unwrittenBytes -= write->record.size();
-        m_pending.erase(write->turn->id);
+        release(write);
         write->changed.cancel();
     }
     return true;
 }
 
+auto TurnJournal::release(const PendingWritePtr& write) -> void
+{
+    m_unwritten -= write->isReplicating ? 1 : 0;
+    write->isReplicating = false;
+    m_unwrittenBytes -= write->record.size();
+    m_pending.erase(write->turn->id);
+}
+
+auto TurnJournal::onRejected(const PendingWritePtr& write) -> void
+{
+    const auto bytes = write->record.size();
+    const auto isKept = m_rejectedBytes + bytes <= s_maxRejectedBytes && m_clock.now() < write->since + m_retention;
+    framework::logEvent(framework::LogLevel::Error, "programs", "turn_rejected",
+                        {{"request", write->turn->id}, {"bytes", bytes}, {"rejections", write->rejections + 1}, {"isKept", isKept}});
+    if (!isKept) {
+        release(write);
+        return;
+    }
+    ++m_rejected;
+    m_rejectedBytes += bytes;
+    m_unwrittenBytes -= bytes;
+    write->isAlone = true;
+    const auto delay = s_firstRejectionRetry * (1 << std::min(write->rejections++, s_maxRejectionDoublings));
+    asio::co_spawn(m_executor, retryRejected(write, delay), asio::detached);
+}
+
+auto TurnJournal::retryRejected(PendingWritePtr write, Milliseconds delay) -> Async<void>
+{
+    auto pause = asio::steady_timer(m_executor, delay);
+    co_await pause.async_wait(asio::use_awaitable);
+    --m_rejected;
+    m_rejectedBytes -= write->record.size();
+    m_unwrittenBytes += write->record.size();
+    if (write->rows.parts.empty()) {
+        enqueue(std::move(write));
+    } else {
+        co_await writeParts(std::move(write));
+    }
+}
+
+auto TurnJournal::storeRecord(const Turn& turn, const std::string& record) -> AsyncResult<void>
+{
+    const auto rows = rowsOf(turn, record, m_rowBytes);
+    auto transactions = transactionsOf(rows.parts);
+    transactions.emplace_back().puts.push_back(rows.head);
+    for (auto& transaction : transactions) {
+        BOOST_OUTCOME_CO_TRY(const auto reply, co_await m_store.transact(std::move(transaction)));
+        static_cast<void>(reply); // Rows of turns have no conditions.
+    }
+    co_return framework::success();
+}
+
 auto TurnJournal::notifyHome(const ProgramKey& key, TurnPtr turn, std::uint64_t returnedTokens) -> void
 {
     auto home = m_peers.home(key.program);
@@ -258,7 +368,6 @@
         m_replicas[turn->id] = Replica{.origin = origin,
                                        .originIncarnation = originIncarnation,
                                        .record = record,
-                                       .partition = partitionOf(*turn),
                                        .program = {.account = turn->account, .program = turn->program},
                                        .tokens = static_cast<std::uint64_t>(turn->tokens),
                                        .since = m_clock.now()};
@@ -278,7 +387,8 @@
 {
     auto due = std::vector<std::string>();
     for (const auto& [id, replica] : m_replicas) {
-        if (m_clock.now() > replica.since + s_originTimeout) {
+        const auto isExpired = m_clock.now() > replica.since + m_retention;
+        if (isExpired || (m_clock.now() > replica.since + s_originTimeout && !replica.isRejected)) {
             due.push_back(id);
         }
     }
@@ -287,18 +397,35 @@
         if (replica == m_replicas.end()) {
             continue;
         }
-        if (m_peers.hasWrittenAllTurns(replica->second.origin, replica->second.originIncarnation)) {
+        const auto isDispensable = m_peers.hasWrittenAllTurns(replica->second.origin, replica->second.originIncarnation) ||
+                                   m_clock.now() > replica->second.since + m_retention;
+        if (isDispensable) {
             m_replicas.erase(replica);
             continue;
         }
-        auto transaction = store::Transaction();
-        transaction.puts.push_back({.address = turnRow(id, replica->second.partition), .value = replica->second.record});
-        const auto reply = co_await m_store.transact(std::move(transaction));
-        if (!reply) {
+        const auto record = replica->second.record;
+        const auto stored = co_await storeRecord(*decodeTurn(record), record);
+        const auto isRejected = !stored && stored.error() == store::StoreError::Rejected;
+        if (!stored && !isRejected) {
             co_return; // Retried at the next call.
         }
-        m_replicas.erase(id);
+        if (isRejected) {
+            onReplicaRejected(id);
+        } else {
+            m_replicas.erase(id);
+        }
+    }
+}
+
+auto TurnJournal::onReplicaRejected(const std::string& id) -> void
+{
+    const auto replica = m_replicas.find(id);
+    if (replica == m_replicas.end()) {
+        return;
     }
+    framework::logEvent(framework::LogLevel::Error, "programs", "kept_turn_rejected",
+                        {{"request", id}, {"bytes", replica->second.record.size()}, {"origin", replica->second.origin}});
+    replica->second.isRejected = true; // It stays in memory for turns that continue it.
 }
 
 auto TurnJournal::isFull() const -> bool
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -7,6 +7,7 @@
 #include "programs/hostregister.h"
 #include "programs/programtable.h"
 #include "programs/turnabsence.h"
+#include "programs/turnrows.h"
 #include "store/istore.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +32,13 @@
     {CommitOutcome::LocalOnly, "alone"},
 }};
 
+/// Bounds of a journal.
+struct JournalLimits
+{
+    std::size_t cacheBytes = 0;
+    std::size_t rowBytes = 65'536; ///< the most that the store accepts as a row's value
+};
+
 /// Result of the search for a turn that a request continues.
 struct TurnSearch
 {
@@ -38,12 +46,13 @@
     bool isCertain = true; ///< whether a null `turn` means that there is no such turn
 };
 
-/// Stores turns as one row each in the partition of their program; during a store outage replicates them to other hosts.
+/// Stores turns as rows in the partition of their program; during a store outage replicates them to other hosts. A turn that the store
+/// rejects does not delay others.
 class TurnJournal
 {
 public:
     TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                HostRegister& hosts, const framework::IClock& clock, std::size_t cacheBytes);
+                HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits);
 
     /// Sets for how long turns are retained; the default is one minute and some seconds for clock differences between hosts.
     auto setRetention(framework::Milliseconds retention) -> void { m_retention = retention; }
@@ -80,6 +89,9 @@
     /// Number of this host's turns that were replicated and are not in the store yet.
     auto unwritten() const -> std::size_t { return m_unwritten; }
 
+    /// Whether some of these are expected to be written soon; the store has not rejected them.
+    auto isWriting() const -> bool { return m_unwritten > m_rejected; }
+
     /// Whether the limit on turns that wait for the store is exceeded.
     auto isFull() const -> bool;
 
@@ -92,9 +104,13 @@
 
         TurnPtr turn;
         std::string record;
+        TurnRows rows;
         std::uint64_t maxTokens = 0;
+        framework::Instant since{};
         framework::asio::steady_timer changed;
         bool isStored = false;
+        bool isAlone = false; ///< written by a transaction of its own, because the store has rejected one that contained it
+        int rejections = 0;
         bool isReplicating = false; ///< replication to other hosts has started
         int openReplications = 0;
         int replicas = 0;
@@ -112,10 +128,10 @@
         std::string origin;
         std::uint64_t originIncarnation = 0;
         std::string record;
-        std::uint32_t partition = 0;
         ProgramKey program;
         std::uint64_t tokens = 0;
         framework::Instant since{};
+        bool isRejected = false; ///< by the store
     };
 
     /// A read from the store that continues while other hosts are queried.
@@ -146,13 +162,25 @@
         std::set<HostIncarnation> answered; ///< hosts that do not have it
     };
 
+    auto enqueue(PendingWritePtr write) -> void;
+    /// Writes the parts of a turn that exceeds a row, then lets its head be written.
+    auto writeParts(PendingWritePtr write) -> framework::Async<void>;
     auto writeQueued(std::uint32_t partition) -> framework::Async<void>;
+    /// Takes a turn that the store rejects by itself out of its queue; it is tried again later, apart from others.
+    auto onRejected(const PendingWritePtr& write) -> void;
+    auto retryRejected(PendingWritePtr write, framework::Milliseconds delay) -> framework::Async<void>;
+    /// Removes a write that is stored or abandoned from the counts.
+    auto release(const PendingWritePtr& write) -> void;
+    auto onReplicaRejected(const std::string& id) -> void;
+    /// Writes all rows of a turn.
+    auto storeRecord(const Turn& turn, const std::string& record) -> framework::AsyncResult<void>;
     auto replicate(PendingWritePtr write) -> void;
     auto replicateTo(std::string address, PendingWritePtr write) -> framework::Async<void>;
     auto composeBatch(const PartitionQueue& queue) -> Batch;
     auto addProgram(Batch& batch, const PendingWritePtr& write) -> void;
     auto handleReply(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool;
     auto readRow(std::string id, std::uint32_t partition) -> framework::AsyncResult<TurnPtr>;
+    auto readParts(std::string id, std::uint32_t partition, DividedTurnHead head) -> framework::AsyncResult<TurnPtr>;
     auto readFromAnyPartition(std::string id, std::uint32_t likelyPartition) -> framework::AsyncResult<TurnPtr>;
     auto findAncestor(Ancestor ancestor) -> framework::Async<TurnPtr>;
     auto cacheTurns(const peers::messages::Response& response) -> void;
@@ -170,6 +198,7 @@
     peers::IPeers& m_peers;
     HostRegister& m_hosts;
     const framework::IClock& m_clock;
+    std::size_t m_rowBytes;
     framework::Instant m_startedAt;
     framework::Milliseconds m_retention{70'000};
     TurnCache m_cache;
@@ -178,6 +207,8 @@
     std::map<std::string, Replica, std::less<>> m_replicas;
     std::size_t m_unwritten = 0;
     std::size_t m_unwrittenBytes = 0;
+    std::size_t m_rejected = 0;      ///< turns that the store has rejected and that wait for another attempt
+    std::size_t m_rejectedBytes = 0; ///< of these; not among m_unwrittenBytes
     bool m_isStoreSlow = false;
 };
 
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -46,7 +46,11 @@
     if (page.rows.empty()) {
         co_return TurnPtr();
     }
+    const auto divided = decodeDividedHead(page.rows.front().value);
     auto turn = decodeTurn(page.rows.front().value);
+    if (divided) {
+        BOOST_OUTCOME_CO_TRY(turn, co_await readParts(std::move(id), partition, *divided));
+    }
     if (!turn) {
         co_return store::StoreError::Malformed;
     }
@@ -54,6 +58,19 @@
     co_return turn;
 }
 
+auto TurnJournal::readParts(std::string id, std::uint32_t partition, DividedTurnHead head) -> AsyncResult<TurnPtr>
+{
+    auto request = partsOf(id, partition);
+    auto parts = std::vector<store::Row>();
+    for (auto hasMore = true; hasMore;) {
+        BOOST_OUTCOME_CO_TRY(auto page, co_await m_store.list(request));
+        hasMore = page.hasMore && !page.rows.empty();
+        std::ranges::move(page.rows, std::back_inserter(parts));
+        request.from = hasMore ? keyAfter(parts.back().address.key) : std::string();
+    }
+    co_return joinParts(head, parts);
+}
+
 auto TurnJournal::readFromAnyPartition(std::string id, std::uint32_t likelyPartition) -> AsyncResult<TurnPtr>
 {
     // A new program may continue a turn of another program, whose partition is not in the request.
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -88,7 +88,7 @@
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
     , m_register(m_store, m_clock, {.host = m_settings.host, .address = m_settings.peerAddress, .incarnation = m_incarnation})
     , m_journal(context.get_executor(), m_programs, m_store, m_link, m_register, m_clock,
-                turnMemory(m_settings))
+                {.cacheBytes = turnMemory(m_settings), .rowBytes = m_settings.storeRowBytes})
     , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock,
                 m_settings.overloadControl == OverloadControl::ByPrograms ? programs::TokenRequests::InAdvance
                                                                           : programs::TokenRequests::PerTurn)
@@ -318,7 +318,7 @@
 
 auto EntryHost::isDrained() const -> bool
 {
-    return m_callerContext.openRequests == 0 && m_journal.unwritten() == 0 && m_link.relays() == 0 && m_budgets.openTransfers() == 0;
+    return m_callerContext.openRequests == 0 && !m_journal.isWriting() && m_link.relays() == 0 && m_budgets.openTransfers() == 0;
 }
 
 auto EntryHost::depart() -> Async<void>
@@ -356,7 +356,7 @@
     if (!areCallersClosed) {
         return "connections";
     }
-    if (m_journal.unwritten() > 0) {
+    if (m_journal.isWriting()) {
         return "unwritten_turns";
     }
     return m_link.relays() > 0 ? "relayed_connections" : "returned_tokens";
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -121,6 +121,7 @@
     auto recordStoreImpairment() -> void;
     auto fetchChanges(std::string address, Table table, bool isAuthoritative) -> framework::Async<void>;
     auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
+    auto addTurns(const peers::messages::TurnQuery& query, peers::messages::Response& response) const -> void;
     auto answerChanges(const peers::messages::Changes& changes) const -> peers::messages::Response;
 
     framework::asio::any_io_executor m_executor;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -14,6 +14,9 @@
 using framework::Async;
 namespace messages = peers::messages;
 
+/// Turns in one response, in bytes; the caller finds further ones in the store.
+constexpr auto s_maxTurnBytes = std::size_t{4 * 1024 * 1024};
+
 auto reachesServers(const peers::Peer& peer) -> bool
 {
     return peer.last.is_ready() && !peer.last.lacks_servers();
@@ -78,11 +81,7 @@
     case messages::Request::kChanges:
         co_return answerChanges(request.changes());
     case messages::Request::kTurnQuery:
-        for (const auto& id : request.turn_query().ids()) {
-            if (const auto turn = m_state.journal->findLocal(id)) {
-                response.add_turns(programs::encodeTurn(*turn));
-            }
-        }
+        addTurns(request.turn_query(), response);
         break;
     case messages::Request::kEndedTurn: {
         const auto& ended = request.ended_turn();
@@ -111,6 +110,19 @@
     co_return response;
 }
 
+auto FleetLink::addTurns(const messages::TurnQuery& query, messages::Response& response) const -> void
+{
+    auto bytes = std::size_t{0};
+    for (const auto& id : query.ids()) {
+        const auto turn = m_state.journal->findLocal(id);
+        auto record = turn ? programs::encodeTurn(*turn) : std::string();
+        bytes += record.size();
+        if (turn && (response.turns_size() == 0 || bytes <= s_maxTurnBytes)) {
+            response.add_turns(std::move(record));
+        }
+    }
+}
+
 auto FleetLink::answerStoreCall(const messages::Request& request) -> Async<messages::Response>
 {
     auto response = messages::Response();
--- a/src/serving/hostsettings.h
+++ b/src/serving/hostsettings.h
@@ -34,6 +34,7 @@
     std::optional<std::string> peerListen;     ///< IP:PORT to listen on for other hosts, if not `peerAddress`
     std::vector<std::string> seedPeers;        ///< peer addresses of some other hosts; may be stale
     std::string storeAddress;                  ///< IP:PORT
+    std::size_t storeRowBytes = 65'536;        ///< the most that the store accepts as a row's value
     OverloadControl overloadControl = OverloadControl::ByServers;
     bool offersRollouts = false; ///< the operator may order rollouts of new versions
     bool isFirstStart = false;   ///< first start of the whole system: no requests were served before
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -108,6 +108,9 @@
     }
     if (m_route->keepsTurns) {
         m_history = programs::TurnHistory::KeptByHosts;
+        if (const auto refusal = checkStorable()) {
+            return refusal;
+        }
     } else if (routing::isStream(m_route->kind) && m_request.turn.hasBudget && !m_request.turn.program.empty()) {
         m_history = programs::TurnHistory::SentByCaller;
     }
@@ -124,6 +127,16 @@
     return std::nullopt;
 }
 
+auto RequestHandler::checkStorable() const -> std::optional<Refusal>
+{
+    const auto& turn = m_request.turn;
+    const auto ids = {std::string_view(m_request.id), std::string_view(turn.program), std::string_view(turn.previousTurn)};
+    if (!std::ranges::all_of(ids, programs::isStorableId)) {
+        return Refusal::BadTurnId;
+    }
+    return m_request.body.size() > programs::s_maxInputBytes ? std::optional(Refusal::TurnTooLarge) : std::nullopt;
+}
+
 auto RequestHandler::checkShutdown() const -> std::optional<Refusal>
 {
     return m_context.shutdown.mayAccept(m_deadline) ? std::nullopt : std::optional(Refusal::Stopping);
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -84,6 +84,8 @@
     /// Notes that at least one complete event has arrived. Other bytes are no progress: a stalled server may send some, too.
     auto recordEvent() -> void;
     auto admit() -> std::optional<Refusal>;
+    /// Whether the store can keep the turn, as far as its request tells.
+    auto checkStorable() const -> std::optional<Refusal>;
     auto checkShutdown() const -> std::optional<Refusal>;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
     /// Determines whether the request starts a program.
--- a/src/serving/servingerrors.cpp
+++ b/src/serving/servingerrors.cpp
@@ -8,6 +8,7 @@
     case Refusal::BadRequest:
     case Refusal::NoRequestId:
     case Refusal::NotResumable:
+    case Refusal::BadTurnId:
         return 400;
     case Refusal::UnknownKey:
         return 401;
@@ -16,6 +17,8 @@
     case Refusal::UnknownRoute:
     case Refusal::NoSuchTurn:
         return 404;
+    case Refusal::TurnTooLarge:
+        return 413;
     case Refusal::RateLimited:
         return 429;
     case Refusal::Lost:
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -29,13 +29,15 @@
     TimedOut,         ///< it may have run, but did not complete before the deadline
     TimedOutUnsent,   ///< not run before the deadline
     BadRequest,
+    BadTurnId,    ///< the id of the turn, its program or the turn that it continues cannot be kept
+    TurnTooLarge, ///< the turn, or its history with it, cannot be kept
     NotResumable, ///< it asks to continue a stream on a route whose streams cannot be continued
 };
 
 /// HTTP status of the response to `refusal`. 429, 402, 404 and 503 mean that the request was not run.
 auto statusOf(Refusal refusal) -> unsigned;
 
-inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 23>{{
+inline constexpr auto s_refusalNames = framework::NameTable<Refusal, 25>{{
     {Refusal::NoConfiguration, "no_configuration"},
     {Refusal::UnknownRoute, "unknown_route"},
     {Refusal::UnknownKey, "unknown_key"},
@@ -58,6 +60,8 @@
     {Refusal::TimedOut, "timed_out"},
     {Refusal::TimedOutUnsent, "timed_out_unsent"},
     {Refusal::BadRequest, "bad_request"},
+    {Refusal::BadTurnId, "bad_turn_id"},
+    {Refusal::TurnTooLarge, "turn_too_large"},
     {Refusal::NotResumable, "not_resumable"},
 }};
 
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -57,6 +57,9 @@
             co_return reply;
         }
         error = reply.error();
+        if (error == StoreError::Rejected) {
+            co_return error; // Another host's call would be rejected as well.
+        }
         isUnknown = error == StoreError::OutcomeUnknown;
     }
     auto request = peers::messages::Request();
@@ -82,7 +85,7 @@
     if (m_way.isUsable(m_clock.now())) {
         auto page = co_await m_direct.list(request);
         note(page ? std::error_code() : page.error());
-        if (page) {
+        if (page || page.error() == StoreError::Rejected) {
             co_return page;
         }
     }
@@ -102,8 +105,8 @@
 
 auto RoutedStore::note(const std::error_code& error) -> void
 {
-    if (!error) {
-        m_way.succeeded();
+    if (!error || error == StoreError::Rejected) {
+        m_way.succeeded(); // A call that is rejected was answered: the fault is in the call.
         m_isReachable = true;
         return;
     }
@@ -130,6 +133,9 @@
             co_return response;
         }
         error = static_cast<StoreError>(response.value().store_error());
+        if (error == StoreError::Rejected) {
+            break;
+        }
     }
     co_return error;
 }
