Budgets keep nothing back for hosts that have left or are few

Cause: possiblyUnrecorded() counted a quarter of each large budget as granted without the store while any host was unreachable. A host that had left became a suspect as soon as it was asked once more, and stayed one for 15 s.

OutageGrants states what may have been granted. More than one turn's tokens now take the support of more than half of all hosts, so that fewer hosts cannot have granted them, however they are cut off, and a quarter is kept back only while most hosts are unreachable. A host that leaves is not among these. Hosts that support a grantor tell so when they are asked: what a grantor that has since been restarted may have granted is entered in the program's row, where it was forgotten before and the budget exceeded; a stopping host waits until its grants are in their rows, and no host forgets them because a program rests. A program row that is rejected does not keep others from being written.

The same bound ends the excess of a program that returns through a data centre that is cut off with a turn that names no previous one.

LargeBudget 5 of 5 tests; with the former rules in OutageGrants 4 of the 5 are red. FleetBudget, BudgetLedger, BudgetAdvance, ProgramTable green.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -17,17 +17,12 @@
 constexpr auto s_queryTimeout = Milliseconds(200);
 constexpr auto s_maxRecordAttempts = 8;
 
-/// Budgets of more turns than this are large: a quarter of one may be granted to a program that starts during an outage.
-constexpr auto s_largeBudgetTurns = std::uint64_t{4};
-constexpr auto s_outageGrantDivisor = std::uint64_t{4};
-
 /// During an outage a turn may run with this share of its maximum: a typical turn generates no more.
 constexpr auto s_minOutageGrantShare = 0.25;
 
-/// Whether a program that starts during an outage may be granted more than one turn's tokens.
-auto mayBeGrantedMore(const Program& program, std::uint64_t maxTokens) -> bool
+auto grantsOf(const Program& program, std::uint64_t maxTokens) -> OutageGrants
 {
-    return program.history == TurnHistory::KeptByHosts && program.budget > s_largeBudgetTurns * maxTokens;
+    return OutageGrants(program.budget, maxTokens, program.history);
 }
 
 } // namespace
@@ -59,20 +54,43 @@
         response.set_granted(transferTokens(key, query.tokens()));
     }
     response.set_reserved(reserved(key));
+    if (const auto program = m_table.find(key)) {
+        response.set_supported_grantor(program->supportedGrantor);
+        response.set_supported_incarnation(program->supportedIncarnation);
+    }
     co_return response;
 }
 
 auto BudgetLedger::possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<std::uint64_t>
 {
-    if (!mayHaveUnrecordedGrants()) {
+    if (!mayHaveUnrecordedGrants() && !isGrantorUnsettled(*program)) {
         co_return 0;
     }
     const auto others = co_await queryPeers(key, program, maxTokens);
-    const auto isLarge = mayBeGrantedMore(*program, maxTokens);
-    // Unreachable hosts may have granted tokens as well. A budget may be exceeded by one turn's tokens, so only the larger grants
-    // to programs with large budgets are counted.
-    const auto unreachable = m_peers.unreachableHosts() > 0 && isLarge ? program->budget / s_outageGrantDivisor : 0;
-    co_return others.unrecordedTokens + unreachable;
+    const auto grants = grantsOf(*program, maxTokens);
+    auto tokens = grants.possiblyGranted(others.fleet);
+    for (const auto& [grantor, supporters] : others.silentGrantors) {
+        const auto granted = grants.possiblyGrantedBy(supporters, others.fleet);
+        tokens = std::max(tokens, granted); // Only one host can have granted more than a turn's tokens.
+        if (granted > 0 && hasLostState(grantor)) {
+            program->lostGrants[grantor.second] = granted;
+        }
+    }
+    co_return others.unrecordedTokens + tokens;
+}
+
+auto BudgetLedger::isGrantorUnsettled(const Program& program) const -> bool
+{
+    const auto isOwn = program.supportedGrantor == m_peers.ownAddress() && program.supportedIncarnation == m_peers.ownIncarnation();
+    return !program.supportedGrantor.empty() && !isOwn && !ProgramTable::hasEntry(program, program.supportedIncarnation);
+}
+
+auto BudgetLedger::hasLostState(const HostIncarnation& host) const -> bool
+{
+    const auto sightings = m_peers.sightings();
+    return std::ranges::any_of(sightings, [&host](const peers::HostSighting& sighting) {
+        return sighting.address == host.first && sighting.incarnation > host.second;
+    });
 }
 
 auto BudgetLedger::recordUnrecordedGrants() -> Async<void>
@@ -80,6 +98,10 @@
     for (const auto& [key, program] : m_table.withUnrecordedTokens()) {
         for (auto attempt = 0; attempt < s_maxRecordAttempts && program->unrecordedTokens > 0 && !program->isRowBeingWritten; ++attempt) {
             const auto isWritten = co_await writeRow(key, program, 0);
+            if (!isWritten && isWritten.error() == store::StoreError::Rejected) {
+                framework::logEvent(framework::LogLevel::Error, "programs", "program_row_rejected", {{"program", key.program}});
+                break; // The rows of the other programs may be accepted.
+            }
             if (!isWritten) {
                 co_return; // Retried at the next call.
             }
@@ -93,7 +115,7 @@
 
 auto BudgetLedger::possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
 {
-    if (mayHaveUnrecordedGrants()) {
+    if (mayHaveUnrecordedGrants() || isGrantorUnsettled(program)) {
         return m_peers.reachableHosts();
     }
     auto addresses = program.isRowKnown ? std::vector<std::string>() : m_peers.replicaHosts(key.program);
@@ -114,7 +136,8 @@
 auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
 {
     auto others = PeerHoldings();
-    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && program->advanceHolders.empty() && !mayHaveUnrecordedGrants()) {
+    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && program->advanceHolders.empty() && !mayHaveUnrecordedGrants() &&
+        !isGrantorUnsettled(*program)) {
         co_return others;
     }
     auto request = peers::messages::Request();
@@ -127,7 +150,19 @@
     const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout, [](const auto&) { return false; });
     auto unrecordedTokens = std::uint64_t{0};
     auto held = std::uint64_t{0};
+    auto supporters = std::map<HostIncarnation, std::uint64_t>();
+    if (!program->supportedGrantor.empty()) {
+        ++supporters[{program->supportedGrantor, program->supportedIncarnation}];
+    }
+    auto answered = std::set<HostIncarnation>{{m_peers.ownAddress(), m_peers.ownIncarnation()}};
+    others.fleet = {.hosts = static_cast<std::uint64_t>(m_peers.membershipSize()),
+                    .unreachable = static_cast<std::uint64_t>(m_peers.unreachableHosts() + answers.failed)};
     for (const auto& response : answers.responses) {
+        answered.emplace(response.address(), response.incarnation());
+        others.fleet.hosts = std::max<std::uint64_t>(others.fleet.hosts, response.membership());
+        if (!response.supported_grantor().empty()) {
+            ++supporters[{response.supported_grantor(), response.supported_incarnation()}];
+        }
         program->holding.transferIn(response.granted());
         others.hasRunningTurns = others.hasRunningTurns || response.reserved() > 0;
         if (m_requests == TokenRequests::InAdvance && response.reserved() > 0) {
@@ -150,6 +185,12 @@
         held = std::max<std::uint64_t>(held, response.lent());
     }
     others.unrecordedTokens = std::max(unrecordedTokens, held);
+    for (const auto& [grantor, count] : supporters) {
+        // The row contains what its grantor has granted, as the grants of a program that is in the row are within one turn's tokens.
+        if (!ProgramTable::hasEntry(*program, grantor.second) && !answered.contains(grantor)) {
+            others.silentGrantors[grantor] = count;
+        }
+    }
     co_return others;
 }
 
@@ -160,10 +201,8 @@
 
 auto BudgetLedger::unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t
 {
-    const auto isLarge = mayBeGrantedMore(program, demand.maxTokens) && !program.isRowKnown;
-    const auto limit = isLarge ? program.budget / s_outageGrantDivisor : demand.maxTokens;
-    const auto hosts = static_cast<std::uint64_t>(m_peers.membershipSize());
-    return limit * std::min(program.supporters, hosts) / hosts; // The other hosts may support another grantor.
+    const auto hosts = std::max(program.fleetSize, static_cast<std::uint64_t>(m_peers.membershipSize()));
+    return grantsOf(program, demand.maxTokens).limit(program.supporters, hosts, program.isRowKnown);
 }
 
 auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
@@ -210,6 +249,9 @@
     const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout, [](const auto&) { return false; });
     const auto others = std::ranges::count_if(answers.responses, [](const auto& response) { return response.is_supported(); });
     program->supporters = std::max(program->supporters, static_cast<std::uint64_t>(others) + (supportsItself ? 1 : 0));
+    for (const auto& response : answers.responses) {
+        program->fleetSize = std::max<std::uint64_t>(program->fleetSize, response.membership());
+    }
     co_return std::string();
 }
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -289,6 +289,13 @@
         if (program->isRowBeingWritten) {
             continue;
         }
+        if (!program->lostGrants.empty()) {
+            const auto isWritten = co_await writeRow(key, program, 0);
+            if (!isWritten) {
+                co_return Refill::Failed;
+            }
+            continue;
+        }
         if (unclaimedTokens < maxTokens - free && inRow >= maxTokens - free) {
             // The budget may not be exhausted: unreachable hosts may turn out to have granted nothing.
             co_return co_await readRow(key, program) ? Refill::Contended : Refill::Failed;
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -3,7 +3,9 @@
 #include "framework/global/async.h"
 #include "peers/ipeers.h"
 #include "programs/advancetokens.h"
+#include "programs/outagegrants.h"
 #include "programs/programtable.h"
+#include "programs/turnabsence.h"
 #include "store/istore.h"
 
 #include <limits>
@@ -31,12 +33,8 @@
 
 /// Enforces the token budgets of programs across all hosts. A host records a grant in the program's row in the store before it
 /// uses the tokens, so that the tokens in use never exceed those in the row, whichever hosts fail. During a store outage, one
-/// host of each group of hosts that reach each other grants tokens without recording them in the row first: one turn's worth,
-/// which is also the most by which a budget may be exceeded if all hosts fail then. Each host supports the grants of one host
-/// only, and a host grants the share that its supporters are of all hosts: the grants add up to one turn's worth however the hosts
-/// are cut off from each other. The limit is one turn's worth, or a quarter of the budget for a program
-/// that starts during the outage with a large budget and whose history the hosts keep: if all hosts fail, its turns are lost as well.
-/// A program whose history is sent by its caller can go on after such a loss, so that it is never granted more than one turn's worth.
+/// host of each group of hosts that reach each other grants tokens without recording them in the row first, within the bounds of
+/// OutageGrants. The hosts that support a grantor remember it, so that its grants are counted although it does not answer any more.
 /// Hosts other than a program's home host reserve tokens through the home host
 /// if they can reach it. With TokenRequests::InAdvance, such a host holds up to one turn's tokens for a program's next turn.
 class BudgetLedger
@@ -71,6 +69,9 @@
     /// Returns all tokens held in advance and holds none from now on.
     auto stopHolding() -> void;
 
+    /// Whether this host has granted tokens that are not in their programs' rows yet.
+    auto hasUnrecordedGrants() const -> bool { return m_table.hasUnrecordedTokens(); }
+
     /// Number of requests in advance and returns that the home hosts have not answered yet.
     auto openTransfers() const -> int { return m_openTransfers; }
 
@@ -110,6 +111,9 @@
         /// Unclaimed tokens of the budget: the lowest number that any host reported.
         std::uint64_t unclaimedTokens = std::numeric_limits<std::uint64_t>::max();
         std::uint64_t unrecordedTokens = 0; ///< granted and possibly missing from the row
+        FleetView fleet;
+        /// Grantors that neither answered nor are in the row, with the number of hosts that answered and support them.
+        std::map<HostIncarnation, std::uint64_t> silentGrantors;
     };
 
     struct RefillState
@@ -140,6 +144,10 @@
     static auto prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t;
     /// Tokens that other hosts may have granted without recording them in the row yet.
     auto possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<std::uint64_t>;
+    /// Whether this host supports another one's grants and the row does not show what that has granted.
+    auto isGrantorUnsettled(const Program& program) const -> bool;
+    /// Whether the host has been restarted since.
+    auto hasLostState(const HostIncarnation& host) const -> bool;
     auto writeRow(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::AsyncResult<bool>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
     /// Hosts that may have tokens of the program. With the store at hand these are the program's home hosts and those in its row;
--- /dev/null
+++ b/src/programs/outagegrants.cpp
@@ -0,0 +1,51 @@
+#include "programs/outagegrants.h"
+
+#include <algorithm>
+
+namespace laburnummill::programs {
+
+namespace {
+
+/// Budgets of more turns than this are large.
+constexpr auto s_largeBudgetTurns = std::uint64_t{4};
+constexpr auto s_largeGrantDivisor = std::uint64_t{4};
+
+auto isMajority(std::uint64_t part, std::uint64_t hosts) -> bool
+{
+    return 2 * part > hosts;
+}
+
+} // namespace
+
+OutageGrants::OutageGrants(std::uint64_t budget, std::uint64_t maxTokens, TurnHistory history)
+    : m_budget(budget)
+    , m_maxTokens(maxTokens)
+    , m_history(history)
+{}
+
+auto OutageGrants::limit(std::uint64_t supporters, std::uint64_t hosts, bool isRowKnown) const -> std::uint64_t
+{
+    const auto isLarge = !isRowKnown && isMajority(supporters, hosts);
+    const auto most = isLarge ? std::max(largeGrant(), m_maxTokens) : m_maxTokens;
+    return most * std::min(supporters, hosts) / hosts; // The other hosts may support another grantor.
+}
+
+auto OutageGrants::possiblyGranted(const FleetView& fleet) const -> std::uint64_t
+{
+    return isMajority(fleet.unreachable, fleet.hosts) ? largeGrant() : 0;
+}
+
+auto OutageGrants::possiblyGrantedBy(std::uint64_t supporters, const FleetView& fleet) const -> std::uint64_t
+{
+    return supporters > 0 && isMajority(supporters + fleet.unreachable, fleet.hosts) ? largeGrant() : 0;
+}
+
+auto OutageGrants::largeGrant() const -> std::uint64_t
+{
+    // If all hosts fail, the turns of a program whose history they keep are lost with the record of its grants, so that no later turn
+    // continues them. A program whose history its caller sends can go on, so that it is never granted more than one turn's tokens.
+    const auto isLarge = m_history == TurnHistory::KeptByHosts && m_budget > s_largeBudgetTurns * m_maxTokens;
+    return isLarge ? m_budget / s_largeGrantDivisor : 0;
+}
+
+} // namespace laburnummill::programs
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -79,6 +79,14 @@
     }
     own->set_granted(std::max<std::uint64_t>(own->granted(), program.holding.totalGranted() + tokens));
     own->set_spent(program.holding.spent());
+    for (const auto& [incarnation, granted] : program.lostGrants) {
+        if (!hasEntry(program, incarnation)) {
+            auto* lost = row.add_holdings();
+            lost->set_incarnation(incarnation);
+            lost->set_granted(granted);
+            lost->set_spent(granted);
+        }
+    }
     const auto address = rowOf(key);
     auto value = row.SerializeAsString();
     return {.condition = {.address = address, .version = program.rowVersion},
@@ -93,6 +101,7 @@
     program.rowVersion = version;
     program.isRowKnown = true;
     program.unconfirmedEntry = 0;
+    program.lostGrants.clear();
     program.holding.grant(change.tokens);
     // Tokens granted while the write was in progress are not in it.
     program.unrecordedTokens = program.holding.totalGranted() - std::min(program.holding.totalGranted(), ownEntry(program));
@@ -143,6 +152,12 @@
     return std::ranges::any_of(program.row.holdings(), [this](const auto& holding) { return !isOwn(holding); });
 }
 
+auto ProgramTable::hasEntry(const Program& program, std::uint64_t incarnation) -> bool
+{
+    return std::ranges::any_of(program.row.holdings(),
+                               [incarnation](const auto& holding) { return holding.incarnation() == incarnation; });
+}
+
 auto ProgramTable::withUnrecordedTokens() const -> std::vector<std::pair<ProgramKey, ProgramPtr>>
 {
     auto found = std::vector<std::pair<ProgramKey, ProgramPtr>>();
@@ -154,11 +169,17 @@
     return found;
 }
 
+auto ProgramTable::hasUnrecordedTokens() const -> bool
+{
+    return std::ranges::any_of(m_programs, [](const auto& entry) { return entry.second->unrecordedTokens > 0; });
+}
+
 auto ProgramTable::removeExpired() -> void
 {
     std::erase_if(m_programs, [this](const auto& entry) {
         const auto& program = *entry.second;
-        return program.usedAt + s_idleTimeout < m_clock.now() && program.holding.reserved() == 0 && !program.isRowBeingWritten;
+        return program.usedAt + s_idleTimeout < m_clock.now() && program.holding.reserved() == 0 && program.unrecordedTokens == 0 &&
+               !program.isRowBeingWritten;
     });
 }
 
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -32,9 +32,12 @@
     std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
     std::uint64_t supportedIncarnation = 0;
     std::uint64_t supporters = 0;         ///< hosts that support the grants of this host, itself included
+    std::uint64_t fleetSize = 0;          ///< the largest number of hosts that a supporter has stated
     std::uint64_t awaitedTokens = 0;      ///< tokens that waiting turns need
     bool hasUnrecordedFromHome = false;   ///< tokens of the home host on this host may be missing from the row
     std::set<std::string> advanceHolders; ///< addresses of hosts that may hold tokens of this host, the home
+    /// Tokens that hosts may have granted without the store before they lost their state, by incarnation; the row is to contain them.
+    std::map<std::uint64_t, std::uint64_t> lostGrants;
     framework::Instant usedAt{};
     framework::Signal changed;
 };
@@ -68,7 +71,7 @@
     /// Sets the program's budget. The lowest value that its turns and its row state is valid.
     static auto limitBudget(Program& program, std::uint64_t budget) -> void;
 
-    /// Builds the write that claims `tokens` more and records grants made during a store outage.
+    /// Builds the write that claims `tokens` more and records grants made during a store outage, also those that hosts have lost.
     auto prepareChange(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange;
 
     /// Updates the program after the write was applied with `version`.
@@ -83,9 +86,15 @@
     /// Whether the row has entries of other hosts.
     auto hasOtherHolders(const Program& program) const -> bool;
 
+    /// Whether the program's row has an entry of this incarnation of a host.
+    static auto hasEntry(const Program& program, std::uint64_t incarnation) -> bool;
+
     /// Programs with granted tokens that are not in their rows.
     auto withUnrecordedTokens() const -> std::vector<std::pair<ProgramKey, ProgramPtr>>;
 
+    /// Whether there are such programs, including those whose rows are being written.
+    auto hasUnrecordedTokens() const -> bool;
+
     /// Removes programs that have been idle for 60 s.
     auto removeExpired() -> void;
 
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -24,6 +24,7 @@
 inline constexpr auto s_turn = std::uint64_t{288};
 inline constexpr auto s_hostsPerDataCentre = 2;
 inline constexpr auto s_hosts = 3 * s_hostsPerDataCentre;
+inline constexpr auto s_firstIncarnations = std::uint64_t{100}; ///< those of two hosts differ by this
 
 class SharedStore final : public store::IStore
 {
@@ -83,7 +84,7 @@
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
     auto unreachableHosts() const -> int override;
-    auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
+    auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return s_hosts; }
     auto mayHaveForgottenSupport() const -> bool override;
     auto wasStoreImpairedRecently() const -> bool override;
@@ -125,7 +126,7 @@
         : requests(requests)
     {
         for (auto number = 0; number < s_hosts; ++number) {
-            hosts.emplace_back(std::make_shared<Host>(context.get_executor(), *this, store, clock, number, 1, requests));
+            hosts.emplace_back(std::make_shared<Host>(context.get_executor(), *this, store, clock, number, s_firstIncarnations * (number + 1), requests));
         }
     }
 
@@ -147,7 +148,8 @@
     {
         const auto host = hosts[number];
         const auto reservation =
-            co_await host->ledger.reserve(key, {.budget = s_budget, .maxTokens = s_turn, .isFirstTurn = false, .history = history});
+            co_await host->ledger.reserve(key, {.budget = budget, .maxTokens = s_turn, .isFirstTurn = isFirstTurn, .history = history});
+        outcome = reservation.outcome;
         if (reservation.outcome != BudgetOutcome::Reserved) {
             co_return;
         }
@@ -164,7 +166,24 @@
 
     auto start(int number, std::uint64_t used = s_budget) -> void
     {
-        asio::co_spawn(context, turn(number, TurnHistory::SentByCaller, used), asio::detached);
+        asio::co_spawn(context, turn(number, history, used), asio::detached);
+    }
+
+    /// Gives the program a large budget and a history that the hosts keep.
+    auto beginLargeProgram() -> void
+    {
+        budget = 8 * s_turn;
+        history = TurnHistory::KeptByHosts;
+    }
+
+    /// Runs turns at a host one after the other until one is refused.
+    auto spend(int number) -> void
+    {
+        for (auto before = granted - 1; granted != before;) {
+            before = granted;
+            start(number);
+            run();
+        }
     }
 
     auto run() -> void
@@ -196,6 +215,10 @@
     std::vector<std::shared_ptr<Host>> hosts;
     std::vector<std::shared_ptr<Host>> retired;
     std::array<int, s_hosts> group{};
+    std::uint64_t budget = s_budget;
+    TurnHistory history = TurnHistory::SentByCaller;
+    bool isFirstTurn = false;
+    BudgetOutcome outcome = BudgetOutcome::Undetermined; ///< of the last turn
     std::uint64_t handedOut = 0;
     int granted = 0;
     TokenRequests requests;
@@ -233,6 +256,17 @@
     return s_hosts - 1 - static_cast<int>(reachableHosts().size());
 }
 
+inline auto FleetPeers::sightings() const -> std::vector<peers::HostSighting>
+{
+    auto found = std::vector<peers::HostSighting>();
+    for (auto other = 0; other < s_hosts; ++other) {
+        if (other != m_number) {
+            found.push_back({.address = std::to_string(other), .host = {}, .incarnation = m_fleet.hosts[other]->incarnation});
+        }
+    }
+    return found;
+}
+
 inline auto FleetPeers::wasStoreImpairedRecently() const -> bool
 {
     return m_fleet.store.isAway || unreachableHosts() > 0;
@@ -245,6 +279,9 @@
 
 inline auto FleetPeers::addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string
 {
+    if (host.empty()) { // An entry with the grants of a host that has lost its state.
+        return {};
+    }
     const auto number = std::stoi(std::string(host));
     return m_fleet.mayCall(m_number, number) && m_fleet.hosts[number]->incarnation == incarnation ? std::string(host) : std::string();
 }
@@ -271,6 +308,8 @@
     } else {
         response = co_await host->ledger.answer(request.grant_query(), 0);
     }
+    response.set_incarnation(host->incarnation);
+    response.set_membership(s_hosts);
     co_await asio::post(asio::use_awaitable);
     delay.expires_after(m_fleet.answerDelay);
     co_await delay.async_wait(asio::use_awaitable);
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -73,6 +73,84 @@
     CHECK_EQUAL(s_turn, fleet.handedOut);
 }
 
+TEST_GROUP(LargeBudget)
+{
+    Fleet fleet;
+
+    void setup() override { fleet.beginLargeProgram(); }
+
+    auto checkBound()->void { CHECK_TEXT(fleet.handedOut <= fleet.budget + s_turn, std::to_string(fleet.handedOut).c_str()); }
+
+    /// The first turn of the program runs without the store and uses all that is granted.
+    auto startDuringOutage()->void
+    {
+        fleet.setStoreAway(true);
+        fleet.isFirstTurn = true;
+        fleet.spend(0);
+        fleet.isFirstTurn = false;
+        CHECK_EQUAL(fleet.budget / 4, fleet.handedOut);
+    }
+};
+
+// Guards against review/4: while any host was unreachable, programs were refused the last quarter of a large budget.
+TEST(LargeBudget, isSpentWholeWhileOneHostIsLost)
+{
+    fleet.group = {0, 0, 0, 0, 0, 1};
+    fleet.spend(0);
+    CHECK_EQUAL(fleet.budget, fleet.handedOut);
+    CHECK_TRUE(fleet.outcome == BudgetOutcome::Exhausted);
+}
+
+TEST(LargeBudget, keepsAQuarterBackWhileMostHostsAreUnreachable)
+{
+    fleet.group = {0, 0, 1, 1, 1, 1};
+    fleet.spend(0);
+    CHECK_EQUAL(fleet.budget - fleet.budget / 4, fleet.handedOut);
+    CHECK_TRUE(fleet.outcome == BudgetOutcome::Undetermined);
+    fleet.group = {};
+    fleet.spend(0);
+    CHECK_EQUAL(fleet.budget, fleet.handedOut);
+}
+
+TEST(LargeBudget, isExceededByOneTurnAtMostWhereAProgramThatHasUsedItReturnsThroughCutOffDataCentres)
+{
+    fleet.spend(0);
+    CHECK_EQUAL(fleet.budget, fleet.handedOut);
+    fleet.cut();
+    fleet.setStoreAway(true);
+    fleet.isFirstTurn = true;
+    for (auto number = 0; number < s_hosts; ++number) {
+        fleet.spend(number);
+    }
+    checkBound();
+}
+
+// Guards against grants without the store that were forgotten with the host that had granted them.
+TEST(LargeBudget, countsTheGrantsOfAHostThatWasRestartedBeforeItRecordedThem)
+{
+    startDuringOutage();
+    fleet.restart(0);
+    fleet.setStoreAway(false);
+    fleet.spend(3);
+    checkBound();
+    CHECK_TRUE(fleet.outcome == BudgetOutcome::Exhausted);
+    for (auto number = 0; number < s_hosts; ++number) {
+        fleet.restart(number); // The row tells of the grants from now on.
+    }
+    fleet.spend(4);
+    checkBound();
+}
+
+TEST(LargeBudget, ofAProgramThatStartedDuringAnOutageIsSpentWholeOnceItsGrantsAreRecorded)
+{
+    startDuringOutage();
+    fleet.setStoreAway(false);
+    fleet.recordGrants();
+    fleet.group = {1, 0, 0, 0, 0, 0}; // The host that granted them is lost.
+    fleet.spend(3);
+    CHECK_EQUAL(fleet.budget, fleet.handedOut);
+}
+
 TEST(FleetBudget, theBoundHoldsInAnyOrderOfOutagesCutsAndRestarts)
 {
     auto broken = std::string();
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -318,7 +318,8 @@
 
 auto EntryHost::isDrained() const -> bool
 {
-    return m_callerContext.openRequests == 0 && !m_journal.isWriting() && m_link.relays() == 0 && m_budgets.openTransfers() == 0;
+    return m_callerContext.openRequests == 0 && !m_journal.isWriting() && m_link.relays() == 0 && m_budgets.openTransfers() == 0 &&
+           !m_budgets.hasUnrecordedGrants();
 }
 
 auto EntryHost::depart() -> Async<void>
@@ -359,6 +360,9 @@
     if (m_journal.isWriting()) {
         return "unwritten_turns";
     }
+    if (m_budgets.hasUnrecordedGrants()) {
+        return "unrecorded_grants";
+    }
     return m_link.relays() > 0 ? "relayed_connections" : "returned_tokens";
 }
 
