A crash of a server is one crash, and a turn is identified by its whole text

Cause: the fingerprint was made of account, target and body, and a turn's body is its new input only.

The fingerprint covers the whole text, and turns are checked once that is complete. CrashHistory counts failures of servers: those of one server at about one time are one. Counts of hosts of the release before are added as they are.

--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -79,7 +79,7 @@
     , m_overload(m_fleetState.backends(), m_metrics)
     , m_shared{.fleetState = m_fleetState,
                .limiter = m_limiter,
-               .quarantine = m_quarantine,
+               .crashes = m_crashes,
                .serverLimits = m_serverLimits,
                .overload = m_overload,
                .directStore = external.store}
@@ -115,7 +115,7 @@
                        .backendClient = m_backendClient,
                        .loadProbes = m_loadProbes,
                        .latencies = m_latencies,
-                       .quarantine = m_quarantine,
+                       .crashes = m_crashes,
                        .shutdown = m_shutdown,
                        .dataCentre = m_settings.dataCentre,
                        .admission = m_admission,
@@ -217,7 +217,7 @@
         }
         m_connections.removeExpired();
         m_programs.removeExpired();
-        m_quarantine.removeExpired(m_clock.now());
+        m_crashes.removeExpired(m_clock.now());
         std::erase_if(m_callers, [](const auto& caller) { return caller.expired(); });
         for (const auto& weak : m_callers) {
             if (const auto caller = weak.lock()) {
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -74,7 +74,7 @@
     std::uint64_t m_incarnation;
     FleetState m_fleetState;
     accounts::FleetLimiter m_limiter;
-    Quarantine m_quarantine;
+    scheduling::CrashHistory m_crashes;
     ServerLimits m_serverLimits;
     OverloadMonitor m_overload;
     ShutdownSchedule m_shutdown;
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -50,6 +50,9 @@
 /// the average tells more than a snapshot of requests that end within some tenths of a second.
 constexpr auto s_averageTime = Milliseconds(800);
 
+/// Reports of failed servers in one heartbeat, some 20 bytes each.
+constexpr auto s_maxCrashReports = std::size_t{32};
+
 /// Smaller failure shares are not reported. One failure adds 0.1 to a host's share and counts for about 5 s.
 constexpr auto s_minReportedFailureShare = 0.02;
 
@@ -216,11 +219,7 @@
     }
     addBackends(heartbeat);
     addStatedLoads(heartbeat);
-    for (const auto& crash : m_state.quarantine.localCrashes(m_clock.now())) {
-        auto* reported = heartbeat.add_crashes();
-        reported->set_fingerprint(crash.fingerprint);
-        reported->set_crashes(crash.crashes);
-    }
+    addCrashes(heartbeat);
     // Only addresses of reachable hosts are sent; otherwise the address of a removed host would circulate forever.
     const auto addresses = reachableHosts();
     const auto addressCount = m_sequence % s_heartbeatsPerAddressList == 0 ? std::min(addresses.size(), s_addressesPerHeartbeat) : 0;
@@ -230,6 +229,33 @@
     return heartbeat;
 }
 
+auto FleetLink::addCrashes(messages::Heartbeat& heartbeat) const -> void
+{
+    for (const auto& report : m_state.crashes.reports(s_maxCrashReports, m_clock.now())) {
+        auto* crash = heartbeat.add_server_crashes();
+        crash->set_fingerprint(report.fingerprint);
+        crash->set_server(report.server);
+        crash->set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(report.age.count(), 0)));
+        crash->set_is_answered(report.isAnswered);
+    }
+}
+
+auto FleetLink::receiveCrashes(const messages::Heartbeat& heartbeat) -> void
+{
+    const auto now = m_clock.now();
+    auto reports = std::vector<scheduling::CrashReport>();
+    for (const auto& crash : heartbeat.server_crashes()) {
+        reports.push_back({.fingerprint = crash.fingerprint(),
+                           .server = crash.server(),
+                           .age = Milliseconds(crash.age_ms()),
+                           .isAnswered = crash.is_answered()});
+    }
+    m_state.crashes.merge(reports, now);
+    for (const auto& count : heartbeat.crashes()) {
+        m_state.crashes.setCount(heartbeat.address(), count.fingerprint(), count.crashes(), now);
+    }
+}
+
 auto FleetLink::addStatedLoads(messages::Heartbeat& heartbeat) const -> void
 {
     const auto now = m_clock.now();
@@ -295,11 +321,7 @@
     for (const auto& use : update.admitted) {
         m_state.limiter.recordRemote(use.account, use.requests, now);
     }
-    auto crashes = std::vector<SuspectedCrash>();
-    for (const auto& crash : heartbeat.crashes()) {
-        crashes.push_back({.fingerprint = crash.fingerprint(), .crashes = crash.crashes()});
-    }
-    m_state.quarantine.setRemoteCrashes(heartbeat.address(), crashes, now);
+    receiveCrashes(heartbeat);
     if (heartbeat.operator_version() > m_state.fleetState.operatorTable().newestRowVersion()) {
         asio::co_spawn(m_executor, fetchChanges(heartbeat.address(), Table::Operator, heartbeat.reaches_store()), asio::detached);
     }
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -10,10 +10,10 @@
 #include "peers/peertransport.h"
 #include "programs/budgetledger.h"
 #include "programs/turnjournal.h"
+#include "scheduling/crashhistory.h"
 #include "serving/fleetstate.h"
 #include "serving/hostsettings.h"
 #include "serving/overloadmonitor.h"
-#include "serving/quarantine.h"
 #include "serving/rolloutcontrol.h"
 #include "serving/serverconnector.h"
 #include "serving/serverlimits.h"
@@ -32,7 +32,7 @@
 {
     FleetState& fleetState;
     accounts::FleetLimiter& limiter;
-    Quarantine& quarantine;
+    scheduling::CrashHistory& crashes;
     ServerLimits& serverLimits;
     OverloadMonitor& overload;
     store::IStore& directStore;
@@ -117,6 +117,8 @@
     auto forward(peers::messages::Heartbeat heartbeat) -> void;
     /// Takes the latest reports of the other hosts on the backend servers.
     auto refreshBackends() -> void;
+    auto addCrashes(peers::messages::Heartbeat& heartbeat) const -> void;
+    auto receiveCrashes(const peers::messages::Heartbeat& heartbeat) -> void;
     auto addStatedLoads(peers::messages::Heartbeat& heartbeat) const -> void;
     auto recordStoreImpairment() -> void;
     auto fetchChanges(std::string address, Table table, bool isAuthoritative) -> framework::Async<void>;
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -121,10 +121,13 @@
     if (m_service == nullptr) {
         return Refusal::NoServer;
     }
-    if (m_context.quarantine.isQuarantined(fingerprintOf(m_account, m_request.target, m_request.body), m_context.clock.now())) {
-        return Refusal::Quarantined;
-    }
-    return std::nullopt;
+    return m_history == programs::TurnHistory::KeptByHosts ? std::nullopt : checkCrashes();
+}
+
+auto RequestHandler::checkCrashes() -> std::optional<Refusal>
+{
+    m_fingerprint = scheduling::fingerprintOf(m_account, m_request.target, m_request.body);
+    return m_context.crashes.isBlocked(m_fingerprint, m_context.clock.now()) ? std::optional(Refusal::Quarantined) : std::nullopt;
 }
 
 auto RequestHandler::checkStorable() const -> std::optional<Refusal>
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -7,6 +7,7 @@
 #include "programs/turnjournal.h"
 #include "scheduling/admission.h"
 #include "scheduling/backendchoice.h"
+#include "scheduling/crashhistory.h"
 #include "serving/backendclient.h"
 #include "serving/eventscanner.h"
 #include "serving/fleetstate.h"
@@ -14,7 +15,6 @@
 #include "serving/latencytracker.h"
 #include "serving/loadprobes.h"
 #include "serving/overloadmonitor.h"
-#include "serving/quarantine.h"
 #include "serving/rolloutcontrol.h"
 #include "serving/serverlimits.h"
 #include "serving/shutdownschedule.h"
@@ -41,7 +41,7 @@
     BackendClient& backendClient;
     LoadProbes& loadProbes;
     LatencyTracker& latencies;
-    Quarantine& quarantine;
+    scheduling::CrashHistory& crashes;
     const ShutdownSchedule& shutdown;
     std::string dataCentre;
     scheduling::Admission& admission;
@@ -86,6 +86,8 @@
     auto admit() -> std::optional<Refusal>;
     /// Whether the store can keep the turn, as far as its request tells.
     auto checkStorable() const -> std::optional<Refusal>;
+    /// Whether servers may be asked to run the request, whose text is complete now.
+    auto checkCrashes() -> std::optional<Refusal>;
     auto checkShutdown() const -> std::optional<Refusal>;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
     /// Determines whether the request starts a program.
@@ -169,6 +171,7 @@
     scheduling::BackendRequirements m_requirements;
     std::vector<backends::BackendPtr> m_probed; ///< servers that have just stated their load
     std::vector<programs::Ancestor> m_ancestors;
+    scheduling::Fingerprint m_fingerprint = 0;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
     std::uint64_t m_reservedTokens = 0;
     bool m_isGrantRecorded = true; ///< the program's row contains the reserved tokens
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -301,7 +301,6 @@
 auto RequestHandler::recordOutcome(const BackendPtr& backend, const AttemptResult& result) -> void
 {
     const auto now = m_context.clock.now();
-    const auto fingerprint = fingerprintOf(m_account, m_request.target, m_input.empty() ? m_request.body : m_input);
     if (result.metadata.load) {
         backend->reportedWaiting = result.metadata.load->waiting;
         backend->reportedAt = now;
@@ -312,7 +311,7 @@
         const auto slowness = isFailure ? 0 : slownessOf(result);
         backend->health.record(isFailure ? ServerOutcome::Broken : ServerOutcome::Answered, slowness, now);
         m_context.rollouts.recordResponse(*backend, m_route->name, isFailure, slowness);
-        m_context.quarantine.recordAnswer(fingerprint);
+        m_context.crashes.recordAnswer(m_fingerprint, now);
         return;
     }
     case AttemptOutcome::NotRun:
@@ -326,7 +325,7 @@
     case AttemptOutcome::Truncated:
         backend->health.record(ServerOutcome::Broken, 0, now);
         m_context.rollouts.recordResponse(*backend, m_route->name, true, 0);
-        m_context.quarantine.recordCrash(fingerprint, now);
+        m_context.crashes.recordCrash(m_fingerprint, peers::backendHash(backend->entry.id), now);
         return;
     case AttemptOutcome::Overdue:
         backend->health.record(ServerOutcome::TimedOut, 0, now);
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -57,7 +57,11 @@
 {
     m_input = m_request.body;
     if (*m_history == TurnHistory::KeptByHosts) {
-        if (const auto refusal = co_await prepareHistory()) {
+        auto refusal = co_await prepareHistory();
+        if (!refusal) {
+            refusal = checkCrashes(); // Short inputs are common, and only the whole text identifies a turn.
+        }
+        if (refusal) {
             co_return refusal;
         }
     }
--- a/src/serving/tests/servingdecisionstest.cpp
+++ b/src/serving/tests/servingdecisionstest.cpp
@@ -2,7 +2,6 @@
 #include "serving/eventscanner.h"
 #include "serving/fleetstate.h"
 #include "serving/latencytracker.h"
-#include "serving/quarantine.h"
 #include "serving/responseframing.h"
 #include "serving/responsememory.h"
 #include "serving/servingerrors.h"
@@ -152,41 +151,6 @@
     CHECK_EQUAL(0U, memory.used());
 }
 
-TEST_GROUP(Quarantine)
-{
-    Quarantine quarantine;
-    Instant now{Milliseconds(100'000)};
-    Fingerprint request = fingerprintOf("pub", "/a/b", "body");
-};
-
-TEST(Quarantine, requestIsQuarantinedAfterThreeCrashesAcrossHosts)
-{
-    quarantine.recordCrash(request, now);
-    quarantine.setRemoteCrashes("other", {{.fingerprint = request, .crashes = 1}}, now);
-    CHECK_FALSE(quarantine.isQuarantined(request, now));
-    quarantine.setRemoteCrashes("third", {{.fingerprint = request, .crashes = 1}}, now);
-    CHECK_TRUE(quarantine.isQuarantined(request, now));
-    CHECK_FALSE(quarantine.isQuarantined(fingerprintOf("pub", "/a/b", "other body"), now));
-}
-
-TEST(Quarantine, answerClearsTheCrashCount)
-{
-    for (auto time = 0; time < 3; ++time) {
-        quarantine.recordCrash(request, now);
-    }
-    quarantine.recordAnswer(request);
-    CHECK_FALSE(quarantine.isQuarantined(request, now));
-    CHECK_EQUAL(0U, quarantine.localCrashes(now).size());
-}
-
-TEST(Quarantine, crashesExpireAfterOneMinute)
-{
-    for (auto time = 0; time < 3; ++time) {
-        quarantine.recordCrash(request, now);
-    }
-    CHECK_FALSE(quarantine.isQuarantined(request, now + Milliseconds(61'000)));
-}
-
 TEST_GROUP(FleetState)
 {
     PlainDecoder decoder;
