--- a/src/serving/storewatcher.cpp
+++ b/src/serving/storewatcher.cpp
@@ -70,7 +70,8 @@
 auto StoreWatcher::readAll(std::string table, bool isOperatorTable) -> AsyncResult<void>
 {
     auto rows = std::vector<store::Row>();
-    auto request = store::ListRequest{.table = table, .partition = {}, .from = {}, .to = {}, .limit = s_rowsPerPage};
+    auto request =
+        store::ListRequest{.table = table, .partition = {}, .from = {}, .to = {}, .limit = s_rowsPerPage, .acceptsUnreadableRows = true};
     auto version = std::uint64_t{0};
     auto hasMore = true;
     while (hasMore) {
--- a/src/store/storetypes.h
+++ b/src/store/storetypes.h
@@ -65,6 +65,8 @@
     std::string from; ///< empty from the start
     std::string to;   ///< empty to the end
     int limit = 500;
+    /// Rows with a value that is not encoded as the store encodes it are returned with an empty one, in place of an error for all rows.
+    bool acceptsUnreadableRows = false;
 };
 
 struct RowPage
--- a/testing/standins/enginestandin.cpp
+++ b/testing/standins/enginestandin.cpp
@@ -131,6 +131,12 @@
             socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s1\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: ", "x");
         co_return false;
     }
+    if (m_fault == EngineFault::BreakInHead) {
+        const auto framing = m_framing == EngineFraming::Explicit ? std::string("Content-Length: 6\r\n") : std::string();
+        const auto head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s1\r\n" + framing + "\r\n";
+        co_await write(socket, head.substr(0, std::min(m_headBytes, head.size() - 1)));
+        co_return false;
+    }
     if (m_fault == EngineFault::Hang) {
         co_await waitUntilClosed(socket);
         co_return false;
--- a/testing/standins/enginestandin.h
+++ b/testing/standins/enginestandin.h
@@ -27,6 +27,7 @@
     BreakInside, ///< the stream ends in the middle of its last event
     EndInside,   ///< as BreakInside, but its framing is completed
     BreakAtHead, ///< the connection ends after the header of the answer
+    BreakInHead, ///< the connection ends within the header of the answer, after setHeadBytes()
     Reset,       ///< the connection is reset in the middle of the answer
     Hint,        ///< an informational response stands before the right one
     EndlessHead, ///< a header without end
@@ -105,6 +106,9 @@
     /// Whether the answers to other requests of EngineFault::Stray say that the server leaves.
     auto setStrayLeaving(bool isLeaving) -> void { m_isStrayLeaving = isLeaving; }
 
+    /// Bytes of the header that EngineFault::BreakInHead sends.
+    auto setHeadBytes(std::size_t bytes) -> void { m_headBytes = bytes; }
+
     /// Connections that rest for longer are forgotten: the next request on one meets a reset.
     auto setForgetsAfter(std::chrono::milliseconds rest) -> void { m_forgetsAfter = rest; }
 
@@ -148,6 +152,7 @@
     std::chrono::milliseconds m_forgetsAfter = std::chrono::hours(1);
     std::vector<http::request<http::string_body>> m_requests;
     std::size_t m_endlessBytes = 0;
+    std::size_t m_headBytes = 0;
     int m_leftEarly = 0;
 };
 
