Hosts know which programs have spent their budgets, and grant these nothing

Cause: a first turn was taken as proof that its program begins. What proves the opposite, a row with too few tokens, was known to the host that had read it only, and lost with it.

A host that refuses a turn for a spent budget tells the others for two seconds, and every few seconds all that are known, so that a host that was restarted learns of them. Without the store nothing is granted to such programs.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -216,8 +216,12 @@
     return !program.isRowKnown && !others.isProgramKnown;
 }
 
-auto BudgetLedger::mayGrantWithoutStore(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
+auto BudgetLedger::mayGrantWithoutStore(const ProgramKey& key, const Program& program, const TokenDemand& demand,
+                                        const PeerHoldings& others) const -> bool
 {
+    if (m_spent.contains(key, m_clock.now())) {
+        return false; // It is not one that starts now, even if its turn names no previous one.
+    }
     return (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
 }
 
@@ -266,7 +270,7 @@
         std::min(unclaimedTokens - std::min(unclaimedTokens, others.unrecordedTokens), limit - std::min(limit, program.unrecordedTokens));
     const auto free = program.holding.free();
     const auto tokens = std::min(demand.maxTokens, free + room);
-    if (!mayGrantWithoutStore(program, demand, others) ||
+    if (!mayGrantWithoutStore(key, program, demand, others) ||
         static_cast<double>(tokens) < s_minOutageGrantShare * static_cast<double>(demand.maxTokens)) {
         return {.outcome = BudgetOutcome::Undetermined, .tokens = 0};
     }
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -172,7 +172,7 @@
             const auto fromGrantor = co_await reserveAt(key, others.grantor, demand);
             reservation = fromGrantor.value_or(Reservation());
         } else if (isUnavailable) {
-            const auto mayGrant = mayGrantWithoutStore(*program, demand, others);
+            const auto mayGrant = mayGrantWithoutStore(key, *program, demand, others);
             const auto supported = mayGrant ? co_await collectSupport(key, program) : std::string();
             if (!supported.empty() && !isGrantor) {
                 const auto fromGrantor = co_await reserveAt(key, supported, demand);
@@ -190,6 +190,9 @@
         co_await program->changed.wait(s_settlePollInterval);
     }
     program->awaitedTokens -= maxTokens;
+    if (reservation.outcome == BudgetOutcome::Exhausted) {
+        m_spent.record(key, m_clock.now());
+    }
     co_return reservation;
 }
 
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -5,6 +5,7 @@
 #include "programs/advancetokens.h"
 #include "programs/outagegrants.h"
 #include "programs/programtable.h"
+#include "programs/spentprograms.h"
 #include "programs/turnabsence.h"
 #include "store/istore.h"
 
@@ -72,6 +73,9 @@
     /// Whether this host has granted tokens that are not in their programs' rows yet.
     auto hasUnrecordedGrants() const -> bool { return m_table.hasUnrecordedTokens(); }
 
+    /// Programs that were refused for their budgets.
+    auto spentPrograms() -> SpentPrograms& { return m_spent; }
+
     /// Number of requests in advance and returns that the home hosts have not answered yet.
     auto openTransfers() const -> int { return m_openTransfers; }
 
@@ -159,7 +163,8 @@
     /// Whether this host supports the grants of the host at `grantor`; it does if it supports no other host.
     auto support(Program& program, std::string_view grantor, std::uint64_t incarnation) -> bool;
     /// Whether this host may grant tokens of the program without the store.
-    auto mayGrantWithoutStore(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
+    auto mayGrantWithoutStore(const ProgramKey& key, const Program& program, const TokenDemand& demand, const PeerHoldings& others) const
+        -> bool;
     auto grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others) -> Reservation;
     /// Whether the program may have started during this outage, so that no row limits what it may still use.
     auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
@@ -173,6 +178,7 @@
     TokenRequests m_requests;
     AdvanceTokens m_advance;
     HomeWait m_homeWait;
+    SpentPrograms m_spent;
     int m_openTransfers = 0;
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -218,6 +218,7 @@
         m_connections.removeExpired();
         m_programs.removeExpired();
         m_crashes.removeExpired(m_clock.now());
+        m_budgets.spentPrograms().removeExpired(m_clock.now());
         std::erase_if(m_callers, [](const auto& caller) { return caller.expired(); });
         for (const auto& weak : m_callers) {
             if (const auto caller = weak.lock()) {
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -2,7 +2,6 @@
 
 #include "framework/global/digest.h"
 #include "framework/logging/log.h"
-#include "serving/serverleavelog.h"
 #include "store/storemessages.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <ranges>
 
 namespace laburnummill::serving {
@@ -46,16 +44,6 @@
 constexpr auto s_addressesPerHeartbeat = std::size_t{8};
 constexpr auto s_heartbeatsPerAddressList = std::uint64_t{5};
 
-/// Time over which the running requests of other hosts are averaged. Programs return to the engine that has cached their prompts, so that
-/// the average tells more than a snapshot of requests that end within some tenths of a second.
-constexpr auto s_averageTime = Milliseconds(800);
-
-/// Reports of failed servers in one heartbeat, some 20 bytes each.
-constexpr auto s_maxCrashReports = std::size_t{32};
-
-/// Smaller failure shares are not reported. One failure adds 0.1 to a host's share and counts for about 5 s.
-constexpr auto s_minReportedFailureShare = 0.02;
-
 } // namespace
 
 FleetLink::FleetLink(asio::any_io_executor executor, const HostSettings& settings, std::uint64_t incarnation,
@@ -166,31 +154,6 @@
     }
 }
 
-auto FleetLink::addBackends(messages::Heartbeat& heartbeat) const -> void
-{
-    const auto now = m_clock.now();
-    auto leaving = std::vector<std::uint64_t>();
-    for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
-        if (backend->leave->isToBeShared(now)) {
-            leaving.push_back(peers::incarnationHash(id, backend->entry.startedAt));
-        }
-        const auto failures = backend->health.failureShare(now);
-        const auto isReported = failures >= s_minReportedFailureShare;
-        if (backend->running == 0 && !isReported) {
-            continue;
-        }
-        auto* use = heartbeat.add_backends();
-        use->set_backend(peers::backendHash(id));
-        use->set_running(static_cast<std::uint32_t>(backend->running));
-        use->set_overdue(static_cast<std::uint32_t>(backend->overdue(now)));
-        use->set_failure_permille(isReported ? static_cast<std::uint32_t>(failures * peers::s_permille) : 0);
-    }
-    peers::addLeavingBackends(heartbeat, leaving);
-    m_state.serverLimits.addTo(heartbeat, now);
-    m_state.overload.addTo(heartbeat, now);
-    m_state.rollouts->addTo(heartbeat);
-}
-
 auto FleetLink::makeHeartbeat() -> messages::Heartbeat
 {
     auto heartbeat = messages::Heartbeat();
@@ -220,6 +183,7 @@
     addBackends(heartbeat);
     addStatedLoads(heartbeat);
     addCrashes(heartbeat);
+    addSpentPrograms(heartbeat);
     // Only addresses of reachable hosts are sent; otherwise the address of a removed host would circulate forever.
     const auto addresses = reachableHosts();
     const auto addressCount = m_sequence % s_heartbeatsPerAddressList == 0 ? std::min(addresses.size(), s_addressesPerHeartbeat) : 0;
@@ -229,74 +193,6 @@
     return heartbeat;
 }
 
-auto FleetLink::addCrashes(messages::Heartbeat& heartbeat) const -> void
-{
-    for (const auto& report : m_state.crashes.reports(s_maxCrashReports, m_clock.now())) {
-        auto* crash = heartbeat.add_server_crashes();
-        crash->set_fingerprint(report.fingerprint);
-        crash->set_server(report.server);
-        crash->set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(report.age.count(), 0)));
-        crash->set_is_answered(report.isAnswered);
-    }
-}
-
-auto FleetLink::receiveCrashes(const messages::Heartbeat& heartbeat) -> void
-{
-    const auto now = m_clock.now();
-    auto reports = std::vector<scheduling::CrashReport>();
-    for (const auto& crash : heartbeat.server_crashes()) {
-        reports.push_back({.fingerprint = crash.fingerprint(),
-                           .server = crash.server(),
-                           .age = Milliseconds(crash.age_ms()),
-                           .isAnswered = crash.is_answered()});
-    }
-    m_state.crashes.merge(reports, now);
-    for (const auto& count : heartbeat.crashes()) {
-        m_state.crashes.setCount(heartbeat.address(), count.fingerprint(), count.crashes(), now);
-    }
-}
-
-auto FleetLink::addStatedLoads(messages::Heartbeat& heartbeat) const -> void
-{
-    const auto now = m_clock.now();
-    auto loads = std::vector<peers::LoadReport>();
-    for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
-        const auto stated = backend->load.toReport(now);
-        if (stated && (stated->load.pace || m_settings.overloadControl == OverloadControl::ByPrograms)) {
-            loads.push_back({.backend = peers::backendHash(id),
-                             .load = stated->load,
-                             .age = std::chrono::duration_cast<Milliseconds>(now - stated->statedAt)});
-        }
-    }
-    peers::addStatedLoads(heartbeat, std::move(loads));
-}
-
-auto FleetLink::refreshBackends() -> void
-{
-    const auto now = m_clock.now();
-    const auto reported = m_table.remoteBackendLoads(now);
-    const auto stated = m_table.statedLoads(now);
-    const auto sinceRefresh = std::chrono::duration<double>(now - m_backendsRefreshedAt) / std::chrono::duration<double>(s_averageTime);
-    const auto weight = 1 - std::exp(-sinceRefresh);
-    m_backendsRefreshedAt = now;
-    const auto leaving = m_table.leavingBackends(now);
-    for (const auto& [id, backend] : m_state.fleetState.backends().all()) {
-        const auto found = reported.find(peers::backendHash(id));
-        const auto remote = found == reported.end() ? peers::RemoteBackendLoad() : found->second;
-        backend->runningRemotely = remote.running;
-        backend->averageRunningRemotely += weight * (remote.running - backend->averageRunningRemotely);
-        if (const auto load = stated.find(peers::backendHash(id)); load != stated.end()) {
-            backend->load.recordPeer(load->second.load, load->second.statedAt);
-        }
-        if (leaving.contains(peers::incarnationHash(id, backend->entry.startedAt))) {
-            const auto wasLeaving = backend->leave->isLeaving();
-            backend->leave->recordPeer(now);
-            logLeaveChange(*backend, wasLeaving, now);
-        }
-        backend->health.setRemoteReports({.failureShares = remote.failureShares, .overdue = remote.overdue});
-    }
-}
-
 auto FleetLink::onHeartbeat(const messages::Heartbeat& heartbeat) -> void
 {
     const auto now = m_clock.now();
@@ -322,6 +218,7 @@
         m_state.limiter.recordRemote(use.account, use.requests, now);
     }
     receiveCrashes(heartbeat);
+    receiveSpentPrograms(heartbeat);
     if (heartbeat.operator_version() > m_state.fleetState.operatorTable().newestRowVersion()) {
         asio::co_spawn(m_executor, fetchChanges(heartbeat.address(), Table::Operator, heartbeat.reaches_store()), asio::detached);
     }
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -118,6 +118,8 @@
     /// Takes the latest reports of the other hosts on the backend servers.
     auto refreshBackends() -> void;
     auto addCrashes(peers::messages::Heartbeat& heartbeat) const -> void;
+    auto addSpentPrograms(peers::messages::Heartbeat& heartbeat) const -> void;
+    auto receiveSpentPrograms(const peers::messages::Heartbeat& heartbeat) -> void;
     auto receiveCrashes(const peers::messages::Heartbeat& heartbeat) -> void;
     auto addStatedLoads(peers::messages::Heartbeat& heartbeat) const -> void;
     auto recordStoreImpairment() -> void;
