A stopping host hands over the turns that it holds for others

Cause: a stopping host waited for its own turns only. What it held for others went with it, and a turn that no other host had taken at first was never replicated again.

A stopping host writes what it holds at once, or hands it over to further hosts if the store does not answer, and does not depart before. Turns that only their host holds are replicated once others can be reached. HeldReplicas has what is due, without I/O.

--- a/src/programs/tests/turnjournaltest.cpp
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -81,7 +81,7 @@
     fleet.hosts[0]->store.isCutOff = true;
     fleet.store.isAway = false;
     fleet.runFor(Milliseconds(3'100));
-    fleet.run([this]() -> Async<void> { co_await fleet.hosts[1]->journal.writeOverdueReplicas(); });
+    fleet.run([this]() -> Async<void> { co_await fleet.hosts[1]->journal.keepReplicas(); });
     CHECK_EQUAL(2U, fleet.store.turns());
     CHECK_TRUE(fleet.hosts[1]->journal.findLocal("a-bad") != nullptr);
 }
@@ -106,3 +106,33 @@
     CHECK_TRUE(isStoredIn(Milliseconds(3'000), committed));
     CHECK_EQUAL(0, fleet.store.rejections);
 }
+
+// Guards against turns that were lost with a host that stopped in order and held the last copy.
+TEST(TurnJournal, aStoppingHostHandsOverWhatItHoldsForOthersWhileTheStoreIsAway)
+{
+    auto larger = JournalFleet(5);
+    larger.store.isAway = true;
+    CHECK_TRUE(larger.commit(0, "t1") == CommitOutcome::Replicated);
+    larger.kill(0);
+    for (const auto stopping : {1U, 2U}) {
+        auto& journal = larger.hosts[stopping]->journal;
+        CHECK_EQUAL(1U, journal.replicas());
+        journal.beginStop();
+        larger.run([&journal]() -> Async<void> { co_await journal.keepReplicas(); });
+        CHECK_EQUAL(0U, journal.replicas());
+        larger.kill(stopping);
+    }
+    CHECK_TRUE(larger.find(4, "t1").turn != nullptr);
+}
+
+TEST(TurnJournal, aTurnThatOnlyThisHostHoldsIsReplicatedOnceOtherHostsAreReachable)
+{
+    fleet.setCutOff(0, true);
+    CHECK_TRUE(fleet.commit(0, "t1") == CommitOutcome::LocalOnly);
+    fleet.store.isAway = true;
+    fleet.setCutOff(0, false);
+    fleet.run([this]() -> Async<void> { co_await fleet.hosts[0]->journal.keepReplicas(); });
+    fleet.runFor(Milliseconds(50));
+    fleet.kill(0);
+    CHECK_TRUE(fleet.find(1, "t1").turn != nullptr);
+}
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -25,10 +25,6 @@
 /// The store answers a write in about 10 ms; after this time-out it counts as slow and the turn is replicated as well.
 constexpr auto s_storeTimeout = Milliseconds(40);
 
-/// If neither the store nor a replica host answers within this time, the turn remains in this host's memory only.
-constexpr auto s_replicationTimeout = Milliseconds(600);
-constexpr auto s_replicaRequestTimeout = Milliseconds(250);
-
 /// Prefetched tokens of a program, in halves of a turn's maximum: enough for some seconds without the store.
 constexpr auto s_prefetchHalfTurns = std::uint64_t{3};
 
@@ -54,9 +50,6 @@
 /// Three times the amount that accumulates at the sites' load during a store outage of about 10 s.
 constexpr auto s_maxUnwrittenBytes = std::size_t{16 * 1024 * 1024};
 
-/// After this time a replica host writes the turn itself instead of waiting for its origin.
-constexpr auto s_originTimeout = Milliseconds(3'000);
-
 auto partitionOf(const Turn& turn) -> std::uint32_t
 {
     return programs::partitionOf(ProgramKey{.account = turn.account, .program = turn.program});
@@ -107,16 +100,7 @@
             co_return CommitOutcome::Stored;
         }
     }
-    replicate(write);
-    const auto deadline = m_clock.now() + s_replicationTimeout;
-    while (!write->isStored && write->openReplications > 0 && m_clock.now() < deadline) {
-        write->changed.expires_after(s_replicationTimeout);
-        co_await write->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    if (write->isStored) {
-        co_return CommitOutcome::Stored;
-    }
-    co_return write->replicas > 0 ? CommitOutcome::Replicated : CommitOutcome::LocalOnly;
+    co_return co_await keepUnstored(write);
 }
 
 auto TurnJournal::enqueue(PendingWritePtr write) -> void
@@ -149,28 +133,6 @@
     enqueue(std::move(write));
 }
 
-auto TurnJournal::replicate(PendingWritePtr write) -> void
-{
-    write->isReplicating = true;
-    ++m_unwritten;
-    for (auto& address : m_peers.replicaHosts(write->turn->program)) {
-        ++write->openReplications;
-        asio::co_spawn(m_executor, replicateTo(std::move(address), write), asio::detached);
-    }
-}
-
-auto TurnJournal::replicateTo(std::string address, PendingWritePtr write) -> Async<void>
-{
-    auto request = peers::messages::Request();
-    request.mutable_kept_turns()->add_records(write->record);
-    request.mutable_kept_turns()->set_origin(m_peers.ownAddress());
-    request.mutable_kept_turns()->set_origin_incarnation(m_peers.ownIncarnation());
-    const auto response = co_await m_peers.call(std::move(address), std::move(request), s_replicaRequestTimeout);
-    --write->openReplications;
-    write->replicas += response ? 1 : 0;
-    write->changed.cancel();
-}
-
 auto TurnJournal::writeQueued(std::uint32_t partition) -> Async<void>
 {
     auto& queue = m_partitionQueues[partition];
@@ -178,7 +140,8 @@
         auto batch = composeBatch(queue);
         const auto startedAt = m_clock.now();
         const auto reply = co_await m_store.transact(batch.transaction);
-        m_isStoreSlow = !reply || m_clock.now() - startedAt > s_storeTimeout;
+        const auto isAnswered = reply || reply.error() == store::StoreError::Rejected;
+        m_isStoreSlow = !isAnswered || m_clock.now() - startedAt > s_storeTimeout;
         if (!handleReply(std::move(batch), reply)) {
             auto pause = asio::steady_timer(m_executor, s_retryInterval);
             co_await pause.async_wait(asio::use_awaitable);
@@ -276,8 +239,9 @@
 
 auto TurnJournal::release(const PendingWritePtr& write) -> void
 {
-    m_unwritten -= write->isReplicating ? 1 : 0;
-    write->isReplicating = false;
+    m_unwritten -= write->isCounted ? 1 : 0;
+    write->isCounted = false;
+    write->isReleased = true;
     m_unwrittenBytes -= write->record.size();
     m_pending.erase(write->turn->id);
 }
@@ -357,77 +321,6 @@
     }
 }
 
-auto TurnJournal::holdReplicas(const std::string& origin, std::uint64_t originIncarnation, const std::vector<std::string>& records) -> void
-{
-    for (const auto& record : records) {
-        const auto turn = decodeTurn(record);
-        if (!turn) {
-            framework::logEvent(framework::LogLevel::Warning, "programs", "kept_turn_unreadable", {{"origin", origin}});
-            continue;
-        }
-        m_replicas[turn->id] = Replica{.origin = origin,
-                                       .originIncarnation = originIncarnation,
-                                       .record = record,
-                                       .program = {.account = turn->account, .program = turn->program},
-                                       .tokens = static_cast<std::uint64_t>(turn->tokens),
-                                       .since = m_clock.now()};
-    }
-}
-
-auto TurnJournal::replicaTokens(const ProgramKey& program) const -> std::uint64_t
-{
-    auto tokens = std::uint64_t{0};
-    for (const auto& [id, replica] : m_replicas) {
-        tokens += replica.program == program ? replica.tokens : 0;
-    }
-    return tokens;
-}
-
-auto TurnJournal::writeOverdueReplicas() -> Async<void>
-{
-    auto due = std::vector<std::string>();
-    for (const auto& [id, replica] : m_replicas) {
-        const auto isExpired = m_clock.now() > replica.since + m_retention;
-        if (isExpired || (m_clock.now() > replica.since + s_originTimeout && !replica.isRejected)) {
-            due.push_back(id);
-        }
-    }
-    for (const auto& id : due) {
-        const auto replica = m_replicas.find(id);
-        if (replica == m_replicas.end()) {
-            continue;
-        }
-        const auto isDispensable = m_peers.hasWrittenAllTurns(replica->second.origin, replica->second.originIncarnation) ||
-                                   m_clock.now() > replica->second.since + m_retention;
-        if (isDispensable) {
-            m_replicas.erase(replica);
-            continue;
-        }
-        const auto record = replica->second.record;
-        const auto stored = co_await storeRecord(*decodeTurn(record), record);
-        const auto isRejected = !stored && stored.error() == store::StoreError::Rejected;
-        if (!stored && !isRejected) {
-            co_return; // Retried at the next call.
-        }
-        if (isRejected) {
-            onReplicaRejected(id);
-        } else {
-            m_replicas.erase(id);
-        }
-    }
-}
-
-auto TurnJournal::onReplicaRejected(const std::string& id) -> void
-{
-    const auto replica = m_replicas.find(id);
-    if (replica == m_replicas.end()) {
-        return;
-    }
-    framework::logEvent(framework::LogLevel::Error, "programs", "kept_turn_rejected",
-                        {{"request", id}, {"bytes", replica->second.record.size()}, {"origin", replica->second.origin}});
-    replica->second.isRejected = true; // It stays in memory for turns that continue it.
-}
-
 auto TurnJournal::isFull() const -> bool
 {
     return m_unwrittenBytes > s_maxUnwrittenBytes;
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -4,6 +4,7 @@
 #include "framework/global/iclock.h"
 #include "framework/global/nametable.h"
 #include "peers/ipeers.h"
+#include "programs/heldreplicas.h"
 #include "programs/hostregister.h"
 #include "programs/programtable.h"
 #include "programs/turnabsence.h"
@@ -81,10 +82,17 @@
     auto holdReplicas(const std::string& origin, std::uint64_t originIncarnation, const std::vector<std::string>& records) -> void;
 
     /// Tokens of a program's turns that are held for other hosts.
-    auto replicaTokens(const ProgramKey& program) const -> std::uint64_t;
+    auto replicaTokens(const ProgramKey& program) const -> std::uint64_t { return m_replicas.tokens(program); }
 
-    /// Writes turns of other hosts that have not written them in time; called about once a second.
-    auto writeOverdueReplicas() -> framework::Async<void>;
+    /// Writes turns of other hosts that have not written them in time, and replicates own turns that no other host holds; called about
+    /// once a second.
+    auto keepReplicas() -> framework::Async<void>;
+
+    /// From now on turns of other hosts are written at once, or handed over to further hosts if the store does not answer.
+    auto beginStop() -> void { m_isStopping = true; }
+
+    /// Number of turns that are held for other hosts.
+    auto replicas() const -> std::size_t { return m_replicas.count(); }
 
     /// Number of this host's turns that were replicated and are not in the store yet.
     auto unwritten() const -> std::size_t { return m_unwritten; }
@@ -111,7 +119,8 @@
         bool isStored = false;
         bool isAlone = false; ///< written by a transaction of its own, because the store has rejected one that contained it
         int rejections = 0;
-        bool isReplicating = false; ///< replication to other hosts has started
+        bool isCounted = false;  ///< among the unwritten turns
+        bool isReleased = false; ///< stored or abandoned
         int openReplications = 0;
         int replicas = 0;
     };
@@ -123,17 +132,6 @@
         bool isBusy = false;
     };
 
-    struct Replica
-    {
-        std::string origin;
-        std::uint64_t originIncarnation = 0;
-        std::string record;
-        ProgramKey program;
-        std::uint64_t tokens = 0;
-        framework::Instant since{};
-        bool isRejected = false; ///< by the store
-    };
-
     /// A read from the store that continues while other hosts are queried.
     struct RowRead
     {
@@ -171,10 +169,13 @@
     auto retryRejected(PendingWritePtr write, framework::Milliseconds delay) -> framework::Async<void>;
     /// Removes a write that is stored or abandoned from the counts.
     auto release(const PendingWritePtr& write) -> void;
-    auto onReplicaRejected(const std::string& id) -> void;
     /// Writes all rows of a turn.
     auto storeRecord(const Turn& turn, const std::string& record) -> framework::AsyncResult<void>;
-    auto replicate(PendingWritePtr write) -> void;
+    /// Replicates a turn that the store has not accepted yet, and waits for that or for the store.
+    auto keepUnstored(PendingWritePtr write) -> framework::Async<CommitOutcome>;
+    auto replicate(const PendingWritePtr& write) -> void;
+    auto replicateAgain() -> void;
+    auto handOver() -> framework::Async<void>;
     auto replicateTo(std::string address, PendingWritePtr write) -> framework::Async<void>;
     auto composeBatch(const PartitionQueue& queue) -> Batch;
     auto addProgram(Batch& batch, const PendingWritePtr& write) -> void;
@@ -204,12 +205,14 @@
     TurnCache m_cache;
     std::map<std::string, TurnPtr, std::less<>> m_pending; ///< turns of this host that are not in the store yet, by id
     std::array<PartitionQueue, s_partitionCount> m_partitionQueues;
-    std::map<std::string, Replica, std::less<>> m_replicas;
+    HeldReplicas m_replicas;
+    std::vector<PendingWritePtr> m_underReplicated; ///< own turns that no other host holds
     std::size_t m_unwritten = 0;
     std::size_t m_unwrittenBytes = 0;
     std::size_t m_rejected = 0;      ///< turns that the store has rejected and that wait for another attempt
     std::size_t m_rejectedBytes = 0; ///< of these; not among m_unwrittenBytes
     bool m_isStoreSlow = false;
+    bool m_isStopping = false;
 };
 
 } // namespace laburnummill::programs
--- /dev/null
+++ b/src/programs/turnreplication.cpp
@@ -0,0 +1,164 @@
+#include "framework/logging/log.h"
+#include "programs/turnjournal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+// The part of TurnJournal that keeps turns in the memory of several hosts until the store has them.
+
+namespace laburnummill::programs {
+
+namespace {
+
+namespace asio = boost::asio;
+using framework::Async;
+using framework::Milliseconds;
+
+/// If neither the store nor a replica host answers within this time, the turn remains in this host's memory only.
+constexpr auto s_replicationTimeout = Milliseconds(600);
+constexpr auto s_replicaRequestTimeout = Milliseconds(250);
+
+/// A turn that fewer hosts hold is replicated again once others can be reached.
+constexpr auto s_wantedReplicas = 1;
+
+/// Records in one message, in bytes.
+constexpr auto s_maxHandoverBytes = std::size_t{4 * 1024 * 1024};
+
+} // namespace
+
+auto TurnJournal::keepUnstored(PendingWritePtr write) -> Async<CommitOutcome>
+{
+    replicate(write);
+    const auto deadline = m_clock.now() + s_replicationTimeout;
+    auto ignored = boost::system::error_code();
+    while (!write->isStored && write->openReplications > 0 && m_clock.now() < deadline) {
+        write->changed.expires_after(s_replicationTimeout);
+        co_await write->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (write->isStored) {
+        co_return CommitOutcome::Stored;
+    }
+    if (write->replicas < s_wantedReplicas) {
+        m_underReplicated.push_back(write);
+    }
+    co_return write->replicas > 0 ? CommitOutcome::Replicated : CommitOutcome::LocalOnly;
+}
+
+auto TurnJournal::replicate(const PendingWritePtr& write) -> void
+{
+    if (!write->isCounted && !write->isReleased) {
+        write->isCounted = true;
+        ++m_unwritten;
+    }
+    for (auto& address : m_peers.replicaHosts(write->turn->program)) {
+        ++write->openReplications;
+        asio::co_spawn(m_executor, replicateTo(std::move(address), write), asio::detached);
+    }
+}
+
+auto TurnJournal::replicateTo(std::string address, PendingWritePtr write) -> Async<void>
+{
+    auto request = peers::messages::Request();
+    request.mutable_kept_turns()->add_records(write->record);
+    request.mutable_kept_turns()->set_origin(m_peers.ownAddress());
+    request.mutable_kept_turns()->set_origin_incarnation(m_peers.ownIncarnation());
+    const auto response = co_await m_peers.call(std::move(address), std::move(request), s_replicaRequestTimeout);
+    --write->openReplications;
+    write->replicas += response ? 1 : 0;
+    write->changed.cancel();
+}
+
+auto TurnJournal::replicateAgain() -> void
+{
+    std::erase_if(m_underReplicated, [](const PendingWritePtr& write) { return write->isReleased || write->replicas >= s_wantedReplicas; });
+    for (const auto& write : m_underReplicated) {
+        if (write->openReplications == 0) {
+            replicate(write);
+        }
+    }
+}
+
+auto TurnJournal::holdReplicas(const std::string& origin, std::uint64_t originIncarnation, const std::vector<std::string>& records) -> void
+{
+    for (const auto& record : records) {
+        const auto turn = decodeTurn(record);
+        if (!turn) {
+            framework::logEvent(framework::LogLevel::Warning, "programs", "kept_turn_unreadable", {{"origin", origin}});
+            continue;
+        }
+        m_replicas.hold(*turn, {.origin = origin,
+                                .originIncarnation = originIncarnation,
+                                .record = record,
+                                .program = {},
+                                .tokens = 0,
+                                .since = m_clock.now()});
+    }
+}
+
+auto TurnJournal::keepReplicas() -> Async<void>
+{
+    replicateAgain();
+    const auto hasWritten = [this](const HeldReplica& replica) {
+        return m_peers.hasWrittenAllTurns(replica.origin, replica.originIncarnation);
+    };
+    m_replicas.dropDispensable(hasWritten, m_clock.now(), m_retention);
+    if (m_isStopping && m_isStoreSlow) {
+        co_return co_await handOver();
+    }
+    for (const auto& id : m_replicas.due(m_clock.now(), m_isStopping)) {
+        const auto* replica = m_replicas.find(id);
+        if (replica == nullptr) {
+            continue;
+        }
+        const auto record = replica->record;
+        const auto stored = co_await storeRecord(*decodeTurn(record), record);
+        if (stored) {
+            m_replicas.erase(id);
+        } else if (stored.error() == store::StoreError::Rejected) {
+            framework::logEvent(framework::LogLevel::Error, "programs", "kept_turn_rejected", {{"request", id}, {"bytes", record.size()}});
+            m_replicas.markRejected(id);
+        } else if (m_isStopping) {
+            co_return co_await handOver();
+        } else {
+            co_return; // Retried at the next call.
+        }
+    }
+}
+
+auto TurnJournal::handOver() -> Async<void>
+{
+    auto ids = m_replicas.due(m_clock.now(), true);
+    auto bytes = std::size_t{0};
+    for (const auto& id : ids) {
+        const auto* replica = m_replicas.find(id);
+        if (replica == nullptr) {
+            continue;
+        }
+        auto request = peers::messages::Request();
+        auto& kept = *request.mutable_kept_turns();
+        kept.set_origin(replica->origin);
+        kept.set_origin_incarnation(replica->originIncarnation);
+        kept.add_records(replica->record);
+        bytes += replica->record.size();
+        auto isHeld = false;
+        // Either host may be the one that holds the turn already.
+        for (auto& address : m_peers.replicaHosts(replica->program.program)) {
+            const auto response = co_await m_peers.call(std::move(address), request, s_replicaRequestTimeout);
+            isHeld = isHeld || response;
+        }
+        if (isHeld) {
+            m_replicas.erase(id);
+        }
+        if (bytes > s_maxHandoverBytes) {
+            break; // Goes on at the next call.
+        }
+    }
+    framework::logEvent(framework::LogLevel::Info, "programs", "kept_turns_handed_over",
+                        {{"turns", ids.size()}, {"left", m_replicas.count()}});
+}
+
+} // namespace laburnummill::programs
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -91,8 +91,8 @@
     if (const auto pending = m_pending.find(id); pending != m_pending.end()) {
         return pending->second;
     }
-    const auto replica = m_replicas.find(id);
-    return replica == m_replicas.end() ? nullptr : decodeTurn(replica->second.record);
+    const auto* replica = m_replicas.find(id);
+    return replica == nullptr ? nullptr : decodeTurn(replica->record);
 }
 
 auto TurnJournal::find(std::string id, ProgramKey program) -> Async<TurnSearch>
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -3,8 +3,6 @@
 #include "framework/global/digest.h"
 #include "framework/logging/boundedsink.h"
 #include "framework/logging/log.h"
-#include "serving/serverleavelog.h"
-#include "serving/serverlimitlog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -235,7 +233,7 @@
 {
     m_isFlushing = true;
     co_await m_budgets.recordUnrecordedGrants();
-    co_await m_journal.writeOverdueReplicas();
+    co_await m_journal.keepReplicas();
     m_isFlushing = false;
 }
 
@@ -296,14 +294,20 @@
     const auto startedAt = m_clock.now();
     auto timer = asio::steady_timer(m_context);
     auto nextLogAt = startedAt;
+    auto hasDeparted = false;
     m_link.announceLeave();
     m_budgets.stopHolding();
+    m_journal.beginStop();
     while (!m_shutdown.mustEnd(m_clock.now())) {
         const auto haveBalancersNoticed = m_shutdown.haveBalancersNoticed(m_clock.now());
         const auto areCallersClosed = haveBalancersNoticed && closeIdleCallers();
         if (areCallersClosed && isDrained()) {
+            if (hasDeparted) {
+                break;
+            }
             co_await depart();
-            break;
+            hasDeparted = true; // Requests that came meanwhile are refused first.
+            continue;
         }
         if (m_clock.now() >= nextLogAt) {
             nextLogAt = m_clock.now() + s_stopLogInterval;
@@ -319,8 +323,8 @@
 
 auto EntryHost::isDrained() const -> bool
 {
-    return m_callerContext.openRequests == 0 && !m_journal.isWriting() && m_link.relays() == 0 && m_budgets.openTransfers() == 0 &&
-           !m_budgets.hasUnrecordedGrants();
+    return m_callerContext.openRequests == 0 && !m_journal.isWriting() && m_journal.replicas() == 0 && m_link.relays() == 0 &&
+           m_budgets.openTransfers() == 0 && !m_budgets.hasUnrecordedGrants();
 }
 
 auto EntryHost::depart() -> Async<void>
@@ -358,7 +362,7 @@
     if (!areCallersClosed) {
         return "connections";
     }
-    if (m_journal.isWriting()) {
+    if (m_journal.isWriting() || m_journal.replicas() > 0) {
         return "unwritten_turns";
     }
     if (m_budgets.hasUnrecordedGrants()) {
@@ -392,62 +396,4 @@
     return areAllClosed;
 }
 
-auto EntryHost::setGauges() const -> void
-{
-    m_metrics.setGauge("open_requests", m_callerContext.openRequests);
-    m_metrics.setGauge("unwritten_turns", static_cast<double>(m_journal.unwritten()));
-    m_metrics.setGauge("programs", static_cast<double>(m_programs.size()));
-    m_metrics.setGauge("backend_connections_made", static_cast<double>(m_connections.createdCount()));
-    m_metrics.setGauge("store_calls_relayed", static_cast<double>(m_store.relayedCalls()));
-    m_metrics.setGauge("log_lines_dropped", static_cast<double>(framework::droppedLogLines()));
-    m_metrics.setGauge("relayed_connections_open", m_link.relays());
-    m_metrics.setGauge("hosts", m_link.fleetSize());
-}
-
-auto EntryHost::logMetrics() const -> void
-{
-    auto counters = framework::Json::object();
-    const auto document = m_metrics.toJson();
-    for (const auto& counter : document["counters"]) {
-        auto name = counter["name"].get<std::string>();
-        for (const auto& [label, value] : counter["labels"].items()) {
-            name += " " + value.get<std::string>();
-        }
-        counters[name] = counter["value"];
-    }
-    framework::logEvent(LogLevel::Info, "serving", "figures", {{"counters", std::move(counters)}});
-}
-
-auto EntryHost::statusResponse(std::string_view path) const -> StatusResponse
-{
-    setGauges();
-    if (path != "/dump") {
-        return {.status = 200, .contentType = "text/plain", .body = m_metrics.exposition()};
-    }
-    auto servers = framework::Json::array();
-    for (const auto& [id, backend] : m_fleetState.backends().all()) {
-        servers.push_back(
-            {{"id", id},
-             {"service", backend->entry.service},
-             {"running", backend->running},
-             {"elsewhere", backend->runningRemotely},
-             {"failureShare", backend->health.failureShare(m_clock.now())},
-             {"failureShareOfAll", backend->health.combinedFailureShare(backend->running + backend->runningRemotely, m_clock.now())},
-             {"overdue", backend->overdue(m_clock.now())},
-             {"overdueElsewhere", backend->health.remoteOverdue()},
-             {"slowness", backend->health.slowness()},
-             {"isDraining", backend->entry.isDraining},
-             {"leaving", leaveToJson(*backend->leave, m_clock.now())},
-             {"limit", limitToJson(backend->limit->current(m_clock.now()), m_clock.now())},
-             {"limitShare", backend->limitShare.value_or(0)}});
-    }
-    const auto document = framework::Json{{"host", m_settings.host},
-                                          {"isReady", isReady()},
-                                          {"isCutOffFromServers", m_connector.isCutOff()},
-                                          {"configuration", m_fleetState.routes() ? m_fleetState.routes()->version() : 0},
-                                          {"servers", std::move(servers)},
-                                          {"metrics", m_metrics.toJson()}};
-    return {.status = 200, .contentType = "application/json", .body = framework::dumpJson(document)};
-}
-
 } // namespace laburnummill::serving
