--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -23,8 +23,8 @@
     messages::Heartbeat last;                      ///< empty if none was received yet
     std::map<std::string, std::uint64_t> admitted; ///< requests admitted since its current start, by client account
     framework::Instant knownSince{};
-    framework::Instant lostStateAt{};              ///< see HostSighting
-    framework::Instant lastHeartbeatAt{};  ///< the epoch if no heartbeat was received yet
+    framework::Instant lostStateAt{};     ///< see HostSighting
+    framework::Instant lastHeartbeatAt{}; ///< the epoch if no heartbeat was received yet
 };
 
 /// Requests that another host has admitted for a client account since its previous heartbeat.
--- a/src/programs/hostregister.cpp
+++ b/src/programs/hostregister.cpp
@@ -83,7 +83,7 @@
     auto record = m_record;
     record.set_has_departed(true);
     const auto isWritten = co_await write(record);
-    co_return isWritten && isWritten.value();
+    co_return isWritten&& isWritten.value();
 }
 
 auto HostRegister::read() -> AsyncResult<std::vector<records::HostRecord>>
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -154,8 +154,7 @@
 
 auto ProgramTable::hasEntry(const Program& program, std::uint64_t incarnation) -> bool
 {
-    return std::ranges::any_of(program.row.holdings(),
-                               [incarnation](const auto& holding) { return holding.incarnation() == incarnation; });
+    return std::ranges::any_of(program.row.holdings(), [incarnation](const auto& holding) { return holding.incarnation() == incarnation; });
 }
 
 auto ProgramTable::withUnrecordedTokens() const -> std::vector<std::pair<ProgramKey, ProgramPtr>>
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -126,7 +126,8 @@
         : requests(requests)
     {
         for (auto number = 0; number < s_hosts; ++number) {
-            hosts.emplace_back(std::make_shared<Host>(context.get_executor(), *this, store, clock, number, s_firstIncarnations * (number + 1), requests));
+            hosts.emplace_back(
+                std::make_shared<Host>(context.get_executor(), *this, store, clock, number, s_firstIncarnations * (number + 1), requests));
         }
     }
 
@@ -164,10 +165,7 @@
         }
     }
 
-    auto start(int number, std::uint64_t used = s_budget) -> void
-    {
-        asio::co_spawn(context, turn(number, history, used), asio::detached);
-    }
+    auto start(int number, std::uint64_t used = s_budget) -> void { asio::co_spawn(context, turn(number, history, used), asio::detached); }
 
     /// Gives the program a large budget and a history that the hosts keep.
     auto beginLargeProgram() -> void
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -77,9 +77,15 @@
 {
     Fleet fleet;
 
-    void setup() override { fleet.beginLargeProgram(); }
+    void setup() override
+    {
+        fleet.beginLargeProgram();
+    }
 
-    auto checkBound()->void { CHECK_TEXT(fleet.handedOut <= fleet.budget + s_turn, std::to_string(fleet.handedOut).c_str()); }
+    auto checkBound()->void
+    {
+        CHECK_TEXT(fleet.handedOut <= fleet.budget + s_turn, std::to_string(fleet.handedOut).c_str());
+    }
 
     /// The first turn of the program runs without the store and uses all that is granted.
     auto startDuringOutage()->void
--- a/src/programs/tests/turnabsencetest.cpp
+++ b/src/programs/tests/turnabsencetest.cpp
@@ -1,5 +1,5 @@
-#include "programs/tests/journalfleet.h"
 #include "programs/turnabsence.h"
+#include "programs/tests/journalfleet.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/programs/turnabsence.cpp
+++ b/src/programs/turnabsence.cpp
@@ -52,7 +52,8 @@
     const auto hasEnded = [&record](const HostSighting& sighting) {
         return sighting.hasEnded && sighting.incarnation == record.incarnation() && sighting.address == record.address();
     };
-    if (record.has_departed() || hasAnswered(record.address(), record.incarnation(), evidence) || std::ranges::any_of(evidence.sightings, hasEnded)) {
+    if (record.has_departed() || hasAnswered(record.address(), record.incarnation(), evidence) ||
+        std::ranges::any_of(evidence.sightings, hasEnded)) {
         return AbsenceDoubt::None;
     }
     const auto* seen = latestSighting(record, evidence);
@@ -60,8 +61,7 @@
         // A later incarnation serves that could not register yet.
         return isRecent(seen->startedAt, evidence) ? AbsenceDoubt::HostLostState : AbsenceDoubt::None;
     }
-    const auto mayBeServing =
-        seen != nullptr ? evidence.now < seen->heardAt + s_silenceLimit : mayBeServingUnheard(record, evidence);
+    const auto mayBeServing = seen != nullptr ? evidence.now < seen->heardAt + s_silenceLimit : mayBeServingUnheard(record, evidence);
     return mayBeServing ? AbsenceDoubt::HostSilent : AbsenceDoubt::None;
 }
 
