--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -77,7 +77,16 @@
             co_return *atHome;
         }
     }
-    co_return co_await reserveHere(std::move(key), demand, false);
+    const auto reservation = co_await reserveHere(key, demand, false);
+    recordIfSpent(key, reservation);
+    co_return reservation;
+}
+
+auto BudgetLedger::recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void
+{
+    if (reservation.outcome == BudgetOutcome::Exhausted) {
+        m_spent.record(key, m_clock.now());
+    }
 }
 
 auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> Async<std::optional<Reservation>>
@@ -115,6 +124,7 @@
     // The program's home host in another data centre sends this query if this host is the grantor; don't send one back.
     const auto isGrantor = hasProgram(key);
     auto reservation = co_await reserveHere(key, demand, isGrantor);
+    recordIfSpent(key, reservation);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         const auto program = m_table.program(key);
         program->holding.settle(reservation.tokens, 0);
@@ -190,9 +200,6 @@
         co_await program->changed.wait(s_settlePollInterval);
     }
     program->awaitedTokens -= maxTokens;
-    if (reservation.outcome == BudgetOutcome::Exhausted) {
-        m_spent.record(key, m_clock.now());
-    }
     co_return reservation;
 }
 
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -128,6 +128,7 @@
     };
 
     auto reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> framework::Async<Reservation>;
+    auto recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void;
     auto reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
     /// Reserves tokens at another host. With requests in advance, the wait is limited to what is usual; tokens that arrive later are
     /// held for the next turn or returned.
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -190,7 +190,7 @@
 
     auto enter(std::size_t number) -> void
     {
-        run([this, number]() -> Async<void> { (void)co_await hosts[number]->hosts.enter(retention); });
+        run([this, number]() -> Async<void> { (void)co_await hosts[number]->hosts.enter(s_retention); });
     }
 
     /// Cuts a host off from the store and the other hosts.
@@ -251,7 +251,7 @@
         context.run_for(time);
     }
 
-    static constexpr auto retention = Milliseconds(70'000);
+    static constexpr auto s_retention = Milliseconds(70'000);
 
     asio::io_context context;
     framework::SystemClock clock;
