Hosts are asked about a silent grantor only where its grants can matter

A program whose history its caller sends is granted one turn's tokens at most without the store, which a budget allows beyond it: claims for it no longer ask all hosts while a grantor is unsettled.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -82,7 +82,9 @@
 auto BudgetLedger::isGrantorUnsettled(const Program& program) const -> bool
 {
     const auto isOwn = program.supportedGrantor == m_peers.ownAddress() && program.supportedIncarnation == m_peers.ownIncarnation();
-    return !program.supportedGrantor.empty() && !isOwn && !ProgramTable::hasEntry(program, program.supportedIncarnation);
+    // Only programs whose history the hosts keep are granted more than one turn's tokens.
+    return program.history == TurnHistory::KeptByHosts && !program.supportedGrantor.empty() && !isOwn &&
+           !ProgramTable::hasEntry(program, program.supportedIncarnation);
 }
 
 auto BudgetLedger::hasLostState(const HostIncarnation& host) const -> bool
--- a/src/programs/turnreplication.cpp
+++ b/src/programs/turnreplication.cpp
@@ -25,7 +25,7 @@
 /// A turn that fewer hosts hold is replicated again once others can be reached.
 constexpr auto s_wantedReplicas = 1;
 
-/// Records in one message, in bytes.
+/// Records handed over before other work of the stopping host has its turn, in bytes.
 constexpr auto s_maxHandoverBytes = std::size_t{4 * 1024 * 1024};
 
 } // namespace
