--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -29,6 +29,10 @@
     /// centre.
     virtual auto replicaHosts(std::string_view program) const -> std::vector<std::string> = 0;
 
+    /// Address of the host that writes the transactions of all hosts to a partition of the store while the store is slow. Hosts with the
+    /// same set of reachable hosts choose the same one. May be this host.
+    virtual auto committer(std::string_view partition) const -> std::string = 0;
+
     /// Hosts with a direct connection to the store. Hosts of this host's data centre come first.
     virtual auto storeProxies() const -> std::vector<std::string> = 0;
 
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -3,7 +3,11 @@
 #include "framework/logging/log.h"
 #include "peers/callall.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
+#include <ranges>
 
 // What the other hosts have of a program's budget, and grants without the store.
 
@@ -11,11 +15,25 @@
 
 namespace {
 
+namespace asio = boost::asio;
 using framework::Async;
 using framework::Milliseconds;
 
 constexpr auto s_queryTimeout = Milliseconds(200);
 constexpr auto s_maxRecordAttempts = 8;
+constexpr auto s_recordWait = Milliseconds(5'000);
+
+/// Writes of grants that have not ended.
+struct OpenRecords
+{
+    OpenRecords(framework::asio::any_io_executor executor, std::size_t count)
+        : ended(std::move(executor))
+        , count(count)
+    {}
+
+    framework::Signal ended;
+    std::size_t count;
+};
 
 /// During an outage a turn may run with this share of its maximum: a typical turn generates no more.
 constexpr auto s_minOutageGrantShare = 0.25;
@@ -97,22 +115,45 @@
 
 auto BudgetLedger::recordUnrecordedGrants() -> Async<void>
 {
-    for (const auto& [key, program] : m_table.withUnrecordedTokens()) {
-        for (auto attempt = 0; attempt < s_maxRecordAttempts && program->unrecordedTokens > 0 && !program->isRowBeingWritten; ++attempt) {
-            const auto isWritten = co_await writeRow(key, program, 0);
-            if (!isWritten && isWritten.error() == store::StoreError::Rejected) {
-                framework::logEvent(framework::LogLevel::Error, "programs", "program_row_rejected", {{"program", key.program}});
-                break; // The rows of the other programs may be accepted.
-            }
-            if (!isWritten) {
-                co_return; // Retried at the next call.
-            }
-            if (isWritten.value()) {
-                framework::logEvent(framework::LogLevel::Info, "programs", "lent_tokens_recorded", {{"program", key.program}});
-                break;
-            }
+    auto programs = m_table.withUnrecordedTokens();
+    if (programs.empty() || !co_await recordGrants(programs.front().first, programs.front().second)) {
+        co_return; // Retried at the next call.
+    }
+    // The writes go on at the same time, because a slow store takes several of them together.
+    const auto open = std::make_shared<OpenRecords>(m_executor, programs.size() - 1);
+    for (const auto& [key, program] : programs | std::views::drop(1)) {
+        asio::co_spawn(
+            m_executor,
+            [this, open, key = key, program = program]() -> Async<void> {
+                (void)co_await recordGrants(key, program);
+                if (--open->count == 0) {
+                    open->ended.notify();
+                }
+            },
+            asio::detached);
+    }
+    while (open->count > 0) {
+        co_await open->ended.wait(s_recordWait);
+    }
+}
+
+auto BudgetLedger::recordGrants(ProgramKey key, ProgramPtr program) -> Async<bool>
+{
+    for (auto attempt = 0; attempt < s_maxRecordAttempts && program->unrecordedTokens > 0 && !program->isRowBeingWritten; ++attempt) {
+        const auto isWritten = co_await writeRow(key, program, 0);
+        if (!isWritten && isWritten.error() == store::StoreError::Rejected) {
+            framework::logEvent(framework::LogLevel::Error, "programs", "program_row_rejected", {{"program", key.program}});
+            co_return true; // The rows of the other programs may be accepted.
+        }
+        if (!isWritten) {
+            co_return false;
+        }
+        if (isWritten.value()) {
+            framework::logEvent(framework::LogLevel::Info, "programs", "lent_tokens_recorded", {{"program", key.program}});
+            co_return true;
         }
     }
+    co_return true;
 }
 
 auto BudgetLedger::possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
@@ -201,10 +242,17 @@
     return m_isStoreSlow || m_peers.wasStoreImpairedRecently();
 }
 
-auto BudgetLedger::unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t
+auto BudgetLedger::unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t
 {
     const auto hosts = std::max(program.fleetSize, static_cast<std::uint64_t>(m_peers.membershipSize()));
-    return grantsOf(program, demand.maxTokens).limit(program.supporters, hosts, program.isRowKnown);
+    // A slow store keeps the turns of the program, which may therefore go on after the loss of all hosts and of their grants.
+    const auto isWithinOneTurn = program.isRowKnown || !isStoreAway(key);
+    return grantsOf(program, demand.maxTokens).limit(program.supporters, hosts, isWithinOneTurn);
+}
+
+auto BudgetLedger::isStoreAway(const ProgramKey& key) const -> bool
+{
+    return m_storeStatus.state(partitionName(partitionOf(key))) == store::StoreState::Away;
 }
 
 auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
@@ -266,7 +314,7 @@
 {
     // A program without a row started during this outage. If all hosts lose their memory now, its turns are lost together with
     // the record of the granted tokens, so that no later turn can continue them.
-    const auto limit = unrecordedGrantLimit(program, demand);
+    const auto limit = unrecordedGrantLimit(key, program, demand);
     const auto unclaimedTokens = std::min(m_table.unclaimedTokens(program), others.unclaimedTokens);
     const auto room =
         std::min(unclaimedTokens - std::min(unclaimedTokens, others.unrecordedTokens), limit - std::min(limit, program.unrecordedTokens));
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -45,11 +45,13 @@
 
 } // namespace
 
-BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                           const framework::IClock& clock, TokenRequests requests)
+BudgetLedger::BudgetLedger(asio::any_io_executor executor, ProgramTable& table, store::IStore& store,
+                           const store::IStoreStatus& storeStatus, peers::IPeers& peers, const framework::IClock& clock,
+                           TokenRequests requests)
     : m_executor(std::move(executor))
     , m_table(table)
     , m_store(store)
+    , m_storeStatus(storeStatus)
     , m_peers(peers)
     , m_clock(clock)
     , m_requests(requests)
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -8,6 +8,7 @@
 #include "programs/spentprograms.h"
 #include "programs/turnabsence.h"
 #include "store/istore.h"
+#include "store/storehealth.h"
 
 #include <limits>
 #include <optional>
@@ -41,8 +42,9 @@
 class BudgetLedger
 {
 public:
-    BudgetLedger(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                 const framework::IClock& clock, TokenRequests requests = TokenRequests::PerTurn);
+    BudgetLedger(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store,
+                 const store::IStoreStatus& storeStatus, peers::IPeers& peers, const framework::IClock& clock,
+                 TokenRequests requests = TokenRequests::PerTurn);
 
     /// Reserves the most that a turn may generate.
     auto reserve(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
@@ -169,11 +171,15 @@
     auto grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others) -> Reservation;
     /// Whether the program may have started during this outage, so that no row limits what it may still use.
     auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
-    auto unrecordedGrantLimit(const Program& program, const TokenDemand& demand) const -> std::uint64_t;
+    auto unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t;
+    auto isStoreAway(const ProgramKey& key) const -> bool;
+    /// Returns false if the store does not accept writes now.
+    auto recordGrants(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
 
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
     store::IStore& m_store;
+    const store::IStoreStatus& m_storeStatus;
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
     TokenRequests m_requests;
--- a/src/programs/outagegrants.cpp
+++ b/src/programs/outagegrants.cpp
@@ -23,9 +23,9 @@
     , m_history(history)
 {}
 
-auto OutageGrants::limit(std::uint64_t supporters, std::uint64_t hosts, bool isRowKnown) const -> std::uint64_t
+auto OutageGrants::limit(std::uint64_t supporters, std::uint64_t hosts, bool isWithinOneTurn) const -> std::uint64_t
 {
-    const auto isLarge = !isRowKnown && isMajority(supporters, hosts);
+    const auto isLarge = !isWithinOneTurn && isMajority(supporters, hosts);
     const auto most = isLarge ? std::max(largeGrant(), m_maxTokens) : m_maxTokens;
     return most * std::min(supporters, hosts) / hosts; // The other hosts may support another grantor.
 }
--- a/src/programs/outagegrants.h
+++ b/src/programs/outagegrants.h
@@ -25,9 +25,9 @@
     /// `budget` and `maxTokens`: of the program, and of one of its turns.
     OutageGrants(std::uint64_t budget, std::uint64_t maxTokens, TurnHistory history);
 
-    /// The most that a host may grant with `supporters`, itself included, of `hosts`. `isRowKnown`: the program did not start during the
-    /// outage.
-    auto limit(std::uint64_t supporters, std::uint64_t hosts, bool isRowKnown) const -> std::uint64_t;
+    /// The most that a host may grant with `supporters`, itself included, of `hosts`. `isWithinOneTurn`: not more than one turn's tokens,
+    /// as the program did not start during the outage.
+    auto limit(std::uint64_t supporters, std::uint64_t hosts, bool isWithinOneTurn) const -> std::uint64_t;
 
     /// Tokens beyond one turn's that unreachable hosts may have granted without the store.
     auto possiblyGranted(const FleetView& fleet) const -> std::uint64_t;
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -26,7 +26,7 @@
 inline constexpr auto s_hosts = 3 * s_hostsPerDataCentre;
 inline constexpr auto s_firstIncarnations = std::uint64_t{100}; ///< those of two hosts differ by this
 
-class SharedStore final : public store::IStore
+class SharedStore final : public store::IStore, public store::IStoreStatus
 {
 public:
     auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
@@ -49,6 +49,17 @@
         co_return store::RowPage{.rows = {m_row}, .version = m_row.version, .hasMore = false};
     }
 
+    auto state(std::string_view) const -> store::StoreState override
+    {
+        return isAway ? store::StoreState::Away : store::StoreState::Prompt;
+    }
+
+    auto awaitReturn(Milliseconds timeout) -> Async<void> override
+    {
+        auto pause = asio::steady_timer(co_await asio::this_coro::executor, timeout);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+
     bool isAway = false;
 
 private:
@@ -82,6 +93,7 @@
     auto reachableHosts() const -> std::vector<std::string> override;
     auto home(std::string_view) const -> std::string override;
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
+    auto committer(std::string_view) const -> std::string override { return ownAddress(); }
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
     auto unreachableHosts() const -> int override;
     auto sightings() const -> std::vector<peers::HostSighting> override;
@@ -103,12 +115,12 @@
 
 struct Host
 {
-    Host(asio::any_io_executor executor, const Fleet& fleet, store::IStore& store, const framework::IClock& clock, int number,
+    Host(asio::any_io_executor executor, const Fleet& fleet, SharedStore& store, const framework::IClock& clock, int number,
          std::uint64_t incarnation, TokenRequests requests)
         : incarnation(incarnation)
         , peers(fleet, number, incarnation)
         , table(executor, clock, std::to_string(number), incarnation)
-        , ledger(executor, table, store, peers, clock, requests)
+        , ledger(executor, table, store, store, peers, clock, requests)
     {}
 
     std::uint64_t incarnation;
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// One row at most; can be made unavailable.
-class OneRowStore final : public store::IStore
+class OneRowStore final : public store::IStore, public store::IStoreStatus
 {
 public:
     auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
@@ -44,6 +44,17 @@
 
     auto row() const -> const store::Row& { return m_row; }
 
+    auto state(std::string_view) const -> store::StoreState override
+    {
+        return isAway ? store::StoreState::Away : store::StoreState::Prompt;
+    }
+
+    auto awaitReturn(Milliseconds timeout) -> Async<void> override
+    {
+        auto pause = asio::steady_timer(co_await asio::this_coro::executor, timeout);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+
     bool isAway = false;
 
 private:
@@ -67,6 +78,7 @@
 
     auto home(std::string_view) const -> std::string override { return ownAddress(); }
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override { return {"peer-1", "peer-2"}; }
+    auto committer(std::string_view) const -> std::string override { return ownAddress(); }
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
     auto unreachableHosts() const -> int override { return 0; }
     auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
@@ -104,7 +116,7 @@
     OneRowStore store;
     ManyPeers peers;
     ProgramTable table{context.get_executor(), clock, "here", 1};
-    BudgetLedger ledger{context.get_executor(), table, store, peers, clock};
+    BudgetLedger ledger{context.get_executor(), table, store, store, peers, clock};
     ProgramKey key{.account = "pub", .program = "p1"};
 
     auto reserve(TokenDemand demand)->Reservation
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -3,6 +3,9 @@
 #include "framework/global/manualclock.h"
 #include "framework/global/systemclock.h"
 #include "programs/turnjournal.h"
+#include "store/groupedstore.h"
+#include "store/returnprobe.h"
+#include "store/storemessages.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,6 +36,10 @@
         if (isAway) {
             co_return store::StoreError::Unavailable;
         }
+        if (!co_await takeTurn(transaction.puts.front().address.partition)) {
+            ++overloads;
+            co_return store::StoreError::Overloaded;
+        }
         auto bytes = std::size_t{0};
         auto isRejected = transaction.puts.size() + transaction.conditions.size() + transaction.removals.size() > 100;
         for (const auto& put : transaction.puts) {
@@ -57,6 +64,7 @@
                 rows[put.address] = {.address = put.address, .value = put.value, .version = version};
             }
         }
+        co_await pause(answerTime);
         co_return reply;
     }
 
@@ -65,6 +73,7 @@
         if (isAway) {
             co_return store::StoreError::Unavailable;
         }
+        co_await pause(answerTime);
         auto page = store::RowPage{.rows = {}, .version = version, .hasMore = false};
         auto bytes = std::size_t{0};
         for (const auto& [address, row] : rows) {
@@ -87,11 +96,43 @@
         return static_cast<std::size_t>(std::ranges::count_if(rows, [](const auto& row) { return row.first.table == "turns"; }));
     }
 
+    auto hasTurn(const std::string& id) const -> bool
+    {
+        return std::ranges::any_of(rows, [&id](const auto& row) { return row.first.table == "turns" && row.first.key == id; });
+    }
+
     bool isAway = false;
+    Milliseconds transactionTime{0}; ///< of one transaction; those of a partition wait for each other
+    Milliseconds answerTime{0};      ///< from the end of a call to its answer
+    int overloads = 0;               ///< transactions refused because of those that wait
     std::function<bool(const store::Put&)> rejects = [](const store::Put&) { return false; };
     int rejections = 0;
     std::uint64_t version = 0;
     std::map<store::RowAddress, store::Row> rows;
+
+private:
+    static auto pause(Milliseconds time) -> Async<void>
+    {
+        if (time.count() > 0) {
+            auto timer = asio::steady_timer(co_await asio::this_coro::executor, time);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    /// Waits for the earlier transactions of the partition and runs; false if over a second of these wait.
+    auto takeTurn(const std::string& partition) -> Async<bool>
+    {
+        const auto now = std::chrono::steady_clock::now();
+        auto& free = m_freeAt[partition];
+        if (free > now + Milliseconds(1'000)) {
+            co_return false;
+        }
+        free = std::max(free, now) + transactionTime;
+        co_await pause(std::chrono::ceil<Milliseconds>(free - now));
+        co_return true;
+    }
+
+    std::map<std::string, std::chrono::steady_clock::time_point> m_freeAt;
 };
 
 class JournalFleet;
@@ -108,6 +149,7 @@
     auto reachableHosts() const -> std::vector<std::string> override;
     auto home(std::string_view) const -> std::string override { return ownAddress(); }
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override;
+    auto committer(std::string_view) const -> std::string override;
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
     auto unreachableHosts() const -> int override { return 0; }
     auto sightings() const -> std::vector<peers::HostSighting> override;
@@ -163,15 +205,24 @@
         : incarnation(incarnation)
         , peers(fleet, number)
         , store(shared)
+        , grouped(context.get_executor(), store, health, peers, clock, metrics)
+        , probe(context.get_executor(), store, way, health, clock, [this] { grouped.onReturn(); })
         , table(context.get_executor(), clock, std::to_string(number), incarnation)
-        , hosts(store, clock, {.host = "host-" + std::to_string(number), .address = std::to_string(number), .incarnation = incarnation})
-        , journal(context.get_executor(), table, store, peers, hosts, clock, {.cacheBytes = 64 * 1024 * 1024})
-    {}
+        , hosts(grouped, clock, {.host = "host-" + std::to_string(number), .address = std::to_string(number), .incarnation = incarnation})
+        , journal(context.get_executor(), table, grouped, grouped, peers, hosts, clock, {.cacheBytes = 64 * 1024 * 1024})
+    {
+        probe.start();
+    }
 
     std::uint64_t incarnation;
     bool isUp = true;
     JournalPeers peers;
     StoreWay store;
+    framework::Metrics metrics;
+    store::StoreHealth health;
+    store::DirectWay way;
+    store::GroupedStore grouped;
+    store::ReturnProbe probe;
     ProgramTable table;
     HostRegister hosts;
     TurnJournal journal;
@@ -218,10 +269,20 @@
         turn->program = program;
         turn->input = std::move(input);
         auto outcome = CommitOutcome::LocalOnly;
-        run([&]() -> Async<void> { outcome = co_await hosts[number]->journal.commit(turn, 100); });
+        run([&]() -> Async<void> { outcome = co_await hosts[number]->journal.commit(turn, 100, clock.now() + timeLimit); });
         return outcome;
     }
 
+    auto commitTurn(std::size_t number, std::string id) -> Async<CommitOutcome>
+    {
+        auto turn = std::make_shared<Turn>();
+        turn->id = std::move(id);
+        turn->account = "pub";
+        turn->program = "p1";
+        turn->input = "input";
+        co_return co_await hosts[number]->journal.commit(turn, 100, clock.now() + timeLimit);
+    }
+
     auto find(std::size_t number, const std::string& id) -> TurnSearch
     {
         auto search = TurnSearch();
@@ -253,6 +314,7 @@
 
     static constexpr auto s_retention = Milliseconds(70'000);
 
+    Milliseconds timeLimit{3'000}; ///< until which callers wait for the end of an answer
     asio::io_context context;
     framework::SystemClock clock;
     LimitedStore store;
@@ -271,6 +333,13 @@
     return addresses;
 }
 
+inline auto JournalPeers::committer(std::string_view) const -> std::string
+{
+    auto addresses = reachableHosts();
+    addresses.push_back(ownAddress());
+    return std::ranges::min(addresses);
+}
+
 inline auto JournalPeers::replicaHosts(std::string_view) const -> std::vector<std::string>
 {
     auto addresses = reachableHosts();
@@ -309,6 +378,13 @@
     auto& host = *m_fleet.hosts[number];
     auto response = peers::messages::Response();
     response.set_incarnation(host.incarnation);
+    if (request.has_transaction()) {
+        const auto reply = co_await host.grouped.commitInGroup(store::fromMessage(request.transaction()));
+        response.set_store_error(reply ? 0 : static_cast<std::uint32_t>(reply.error().value()));
+        response.set_is_applied(reply && reply.value().isApplied);
+        response.set_version(reply ? reply.value().version : 0);
+        co_return response;
+    }
     if (request.has_kept_turns()) {
         const auto& kept = request.kept_turns();
         host.journal.holdReplicas(kept.origin(), kept.origin_incarnation(), {kept.records().begin(), kept.records().end()});
--- a/src/programs/tests/turnjournaltest.cpp
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -107,6 +107,57 @@
     CHECK_EQUAL(0, fleet.store.rejections);
 }
 
+// Guards against the loss of review/1: answers ended whole while a slow store had not taken their turns yet.
+TEST(TurnJournal, whileTheStoreIsSlowATurnThatIsSaidToBeKeptIsStored)
+{
+    fleet.store.transactionTime = Milliseconds(150);
+    fleet.store.answerTime = Milliseconds(120);
+    constexpr auto turns = 60;
+    auto stored = 0;
+    auto ended = 0;
+    for (auto number = 0; number < turns; ++number) {
+        asio::co_spawn(
+            fleet.context,
+            [&, number]() -> Async<void> {
+                const auto id = "t" + std::to_string(number);
+                auto pause = asio::steady_timer(fleet.context, Milliseconds(20 * number));
+                co_await pause.async_wait(asio::use_awaitable);
+                const auto outcome = co_await fleet.commitTurn(number % 3, id);
+                ++ended;
+                stored += outcome == CommitOutcome::Stored ? 1 : 0;
+                CHECK_EQUAL(outcome == CommitOutcome::Stored, fleet.store.hasTurn(id));
+            },
+            asio::detached);
+    }
+    fleet.runFor(Milliseconds(6'000));
+    CHECK_EQUAL(turns, ended);
+    CHECK_EQUAL(turns, stored); // By one transaction after the other they would take 9 s.
+}
+
+TEST(TurnJournal, theEndOfAnAnswerDoesNotWaitBeyondTheCallersTimeLimit)
+{
+    fleet.store.answerTime = Milliseconds(120);
+    CHECK_TRUE(fleet.commit(0, "t1") == CommitOutcome::Stored);
+    fleet.store.transactionTime = Milliseconds(700);
+    fleet.timeLimit = Milliseconds(300);
+    const auto startedAt = fleet.clock.now();
+    CHECK_TRUE(fleet.commit(0, "t2") == CommitOutcome::NotStored);
+    CHECK_TRUE(fleet.clock.now() < startedAt + Milliseconds(400));
+}
+
+// Guards against turns that stayed in memory for up to two seconds after the return of the store.
+TEST(TurnJournal, whatWasKeptInMemoryIsStoredAtOnceWhenTheStoreReturns)
+{
+    fleet.store.isAway = true;
+    for (auto number = 0; number < 20; ++number) {
+        CHECK_TRUE(fleet.commit(number % 3, "t" + std::to_string(number)) == CommitOutcome::Replicated);
+    }
+    fleet.runFor(Milliseconds(1'500));
+    fleet.store.isAway = false;
+    fleet.runFor(Milliseconds(250));
+    CHECK_EQUAL(20U, fleet.store.turns());
+}
+
 // Guards against turns that were lost with a host that stopped in order and held the last copy.
 TEST(TurnJournal, aStoppingHostHandsOverWhatItHoldsForOthersWhileTheStoreIsAway)
 {
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -3,6 +3,7 @@
 #include "framework/global/digest.h"
 #include "framework/global/errorcategory.h"
 #include "framework/logging/log.h"
+#include "store/callsize.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,13 +23,18 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-/// The store answers a write in about 10 ms; after this time-out it counts as slow and the turn is replicated as well.
-constexpr auto s_storeTimeout = Milliseconds(40);
+/// Interval in which the end of an answer considers the state of the store.
+constexpr auto s_commitPoll = Milliseconds(40);
 
 /// Prefetched tokens of a program, in halves of a turn's maximum: enough for some seconds without the store.
 constexpr auto s_prefetchHalfTurns = std::uint64_t{3};
 
 constexpr auto s_retryInterval = Milliseconds(250);
+/// The return of a store that is away ends the wait.
+constexpr auto s_awayRetryInterval = Milliseconds(1'000);
+
+/// Batches of a partition under way at the same time while the store is slow: its committer writes them together.
+constexpr auto s_writersIfSlow = 8;
 
 /// A turn that the store rejects is tried again after this time, which doubles with each further rejection.
 constexpr auto s_firstRejectionRetry = Milliseconds(1'000);
@@ -63,11 +69,12 @@
 
 } // namespace
 
-TurnJournal::TurnJournal(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                         HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits)
+TurnJournal::TurnJournal(asio::any_io_executor executor, ProgramTable& table, store::IStore& store, store::IStoreStatus& storeStatus,
+                         peers::IPeers& peers, HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits)
     : m_executor(std::move(executor))
     , m_table(table)
     , m_store(store)
+    , m_storeStatus(storeStatus)
     , m_peers(peers)
     , m_hosts(hosts)
     , m_clock(clock)
@@ -76,7 +83,7 @@
     , m_cache(limits.cacheBytes)
 {}
 
-auto TurnJournal::commit(TurnPtr turn, std::uint64_t maxTokens) -> Async<CommitOutcome>
+auto TurnJournal::commit(TurnPtr turn, std::uint64_t maxTokens, Instant endBy) -> Async<CommitOutcome>
 {
     m_cache.put(turn);
     m_pending[turn->id] = turn;
@@ -93,23 +100,37 @@
         asio::co_spawn(m_executor, writeParts(write), asio::detached);
     }
     auto ignored = boost::system::error_code();
-    if (!m_isStoreSlow) {
-        write->changed.expires_after(s_storeTimeout);
+    auto step = CommitStep::AwaitStore;
+    while (!write->isStored && (step = nextStep(*write, endBy)) == CommitStep::AwaitStore) {
+        write->changed.expires_after(s_commitPoll);
         co_await write->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (write->isStored) {
-            co_return CommitOutcome::Stored;
-        }
+    }
+    if (write->isStored) {
+        co_return CommitOutcome::Stored;
+    }
+    if (step == CommitStep::GiveUp) {
+        co_return CommitOutcome::NotStored;
     }
     co_return co_await keepUnstored(write);
 }
 
+auto TurnJournal::nextStep(const PendingWrite& write, Instant endBy) const -> CommitStep
+{
+    return nextCommitStep(stateFor(partitionOf(*write.turn)), write.rejections > 0, m_clock.now(), endBy);
+}
+
+auto TurnJournal::stateFor(std::uint32_t partition) const -> store::StoreState
+{
+    return m_storeStatus.state(partitionName(partition));
+}
+
 auto TurnJournal::enqueue(PendingWritePtr write) -> void
 {
     const auto partition = partitionOf(*write->turn);
     auto& queue = m_partitionQueues[partition];
     queue.waiting.push_back(std::move(write));
-    if (!queue.isBusy) {
-        queue.isBusy = true;
+    if (queue.writers < writersFor(partition)) {
+        ++queue.writers;
         asio::co_spawn(m_executor, writeQueued(partition), asio::detached);
     }
 }
@@ -126,8 +147,7 @@
             if (reply.error() == store::StoreError::Rejected) {
                 co_return onRejected(write);
             }
-            auto pause = asio::steady_timer(m_executor, s_retryInterval);
-            co_await pause.async_wait(asio::use_awaitable);
+            co_await awaitRetry(partitionOf(*write->turn));
         }
     }
     enqueue(std::move(write));
@@ -138,30 +158,38 @@
     auto& queue = m_partitionQueues[partition];
     while (!queue.waiting.empty()) {
         auto batch = composeBatch(queue);
-        const auto startedAt = m_clock.now();
         const auto reply = co_await m_store.transact(batch.transaction);
-        const auto isAnswered = reply || reply.error() == store::StoreError::Rejected;
-        m_isStoreSlow = !isAnswered || m_clock.now() - startedAt > s_storeTimeout;
         if (!handleReply(std::move(batch), reply)) {
-            auto pause = asio::steady_timer(m_executor, s_retryInterval);
-            co_await pause.async_wait(asio::use_awaitable);
+            co_await awaitRetry(partition);
         }
     }
-    queue.isBusy = false;
+    --queue.writers;
+}
+
+auto TurnJournal::awaitRetry(std::uint32_t partition) -> Async<void>
+{
+    co_await m_storeStatus.awaitReturn(stateFor(partition) == store::StoreState::Away ? s_awayRetryInterval : s_retryInterval);
+}
+
+auto TurnJournal::writersFor(std::uint32_t partition) const -> int
+{
+    return stateFor(partition) == store::StoreState::Slow ? s_writersIfSlow : 1;
 }
 
-auto TurnJournal::composeBatch(const PartitionQueue& queue) -> Batch
+auto TurnJournal::composeBatch(PartitionQueue& queue) -> Batch
 {
     auto batch = Batch();
-    auto size = CallSize();
-    for (const auto& write : queue.waiting) {
-        const auto bytes = CallSize::bytesOf(write->rows.head.value.size()) + CallSize::bytesOf(s_programRowBytes);
+    auto size = store::CallSize();
+    while (!queue.waiting.empty()) {
+        const auto write = queue.waiting.front();
+        const auto bytes = store::CallSize::bytesOf(write->rows.head.value.size()) + store::CallSize::bytesOf(s_programRowBytes);
         const auto isLast = write->isAlone || !size.fits(bytes, s_turnEntries + s_programEntries);
         if (!batch.writes.empty() && isLast) {
             break;
         }
         size.add(bytes, s_turnEntries + s_programEntries);
         batch.writes.push_back(write);
+        queue.waiting.pop_front();
         batch.transaction.puts.push_back(write->rows.head);
         if (write->isAlone) {
             break;
@@ -214,22 +242,23 @@
     if (!reply) {
         logNotStored(batch.writes.size(), reply.error());
         if (reply.error() != store::StoreError::Rejected) {
+            putBack(batch);
             return false; // Rows of turns never change, so a write of unknown outcome can be repeated.
         }
         if (batch.writes.size() == 1 && batch.programs.empty()) {
-            m_partitionQueues[partitionOf(*batch.writes.front()->turn)].waiting.pop_front();
             onRejected(batch.writes.front());
+            return true;
         }
         // Another attempt would be rejected as well. Each turn by itself shows which one is at fault.
         std::ranges::for_each(batch.writes, [](const auto& write) { write->isAlone = true; });
+        putBack(batch);
         return true;
     }
     if (!isStored) {
+        putBack(batch);
         return true; // Another host wrote a program's row meanwhile; the next attempt uses the new version.
     }
-    auto& queue = m_partitionQueues[partitionOf(*batch.writes.front()->turn)];
     for (const auto& write : batch.writes) {
-        queue.waiting.pop_front();
         write->isStored = true;
         release(write);
         write->changed.cancel();
@@ -237,6 +266,12 @@
     return true;
 }
 
+auto TurnJournal::putBack(const Batch& batch) -> void
+{
+    auto& waiting = m_partitionQueues[partitionOf(*batch.writes.front()->turn)].waiting;
+    waiting.insert(waiting.begin(), batch.writes.begin(), batch.writes.end());
+}
+
 auto TurnJournal::release(const PendingWritePtr& write) -> void
 {
     m_unwritten -= write->isCounted ? 1 : 0;
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -4,6 +4,7 @@
 #include "framework/global/iclock.h"
 #include "framework/global/nametable.h"
 #include "peers/ipeers.h"
+#include "programs/commitpolicy.h"
 #include "programs/heldreplicas.h"
 #include "programs/hostregister.h"
 #include "programs/programtable.h"
@@ -25,12 +26,14 @@
     Stored,     ///< in the store
     Replicated, ///< in memory on this and other hosts; written once the store is available
     LocalOnly,  ///< in memory on this host only
+    NotStored,  ///< the store has not accepted it in time, although it answers
 };
 
-inline constexpr auto s_commitOutcomeNames = framework::NameTable<CommitOutcome, 3>{{
+inline constexpr auto s_commitOutcomeNames = framework::NameTable<CommitOutcome, 4>{{
     {CommitOutcome::Stored, "stored"},
     {CommitOutcome::Replicated, "kept"},
     {CommitOutcome::LocalOnly, "alone"},
+    {CommitOutcome::NotStored, "not_stored"},
 }};
 
 /// Bounds of a journal.
@@ -52,16 +55,17 @@
 class TurnJournal
 {
 public:
-    TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, peers::IPeers& peers,
-                HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits);
+    TurnJournal(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store, store::IStoreStatus& storeStatus,
+                peers::IPeers& peers, HostRegister& hosts, const framework::IClock& clock, const JournalLimits& limits);
 
     /// Sets for how long turns are retained; the default is one minute and some seconds for clock differences between hosts.
     auto setRetention(framework::Milliseconds retention) -> void { m_retention = retention; }
     auto retention() const -> framework::Milliseconds { return m_retention; }
 
     /// Stores a turn, and its program's token counts if they are due; `maxTokens` is the most that one of its turns may generate.
-    /// Returns when the turn is stored; if the store is slow, when it is replicated to other hosts or after a time-out.
-    auto commit(TurnPtr turn, std::uint64_t maxTokens) -> framework::Async<CommitOutcome>;
+    /// Returns when the turn is stored; if the store is away, when it is replicated to other hosts or after a time-out. With NotStored, at
+    /// `endBy`, the turn's answer must not end as if it were whole.
+    auto commit(TurnPtr turn, std::uint64_t maxTokens, framework::Instant endBy) -> framework::Async<CommitOutcome>;
 
     /// Looks up a turn of any program by id; it is most likely one of `program`.
     auto find(std::string id, ProgramKey program) -> framework::Async<TurnSearch>;
@@ -129,7 +133,7 @@
     struct PartitionQueue
     {
         std::deque<PendingWritePtr> waiting;
-        bool isBusy = false;
+        int writers = 0;
     };
 
     /// A read from the store that continues while other hosts are queried.
@@ -164,11 +168,15 @@
     /// Writes the parts of a turn that exceeds a row, then lets its head be written.
     auto writeParts(PendingWritePtr write) -> framework::Async<void>;
     auto writeQueued(std::uint32_t partition) -> framework::Async<void>;
-    /// Takes a turn that the store rejects by itself out of its queue; it is tried again later, apart from others.
+    /// Returns the writes of a batch that was not stored to the head of their queue.
+    auto putBack(const Batch& batch) -> void;
+    /// Sets a turn that the store rejects by itself aside; it is tried again later, apart from others.
     auto onRejected(const PendingWritePtr& write) -> void;
     auto retryRejected(PendingWritePtr write, framework::Milliseconds delay) -> framework::Async<void>;
     /// Removes a write that is stored or abandoned from the counts.
     auto release(const PendingWritePtr& write) -> void;
+    auto nextStep(const PendingWrite& write, framework::Instant endBy) const -> CommitStep;
+    auto stateFor(std::uint32_t partition) const -> store::StoreState;
     /// Writes all rows of a turn.
     auto storeRecord(const Turn& turn, const std::string& record) -> framework::AsyncResult<void>;
     /// Replicates a turn that the store has not accepted yet, and waits for that or for the store.
@@ -177,7 +185,10 @@
     auto replicateAgain() -> void;
     auto handOver() -> framework::Async<void>;
     auto replicateTo(std::string address, PendingWritePtr write) -> framework::Async<void>;
-    auto composeBatch(const PartitionQueue& queue) -> Batch;
+    auto awaitRetry(std::uint32_t partition) -> framework::Async<void>;
+    auto writersFor(std::uint32_t partition) const -> int;
+    /// Takes the writes of a batch out of the queue.
+    auto composeBatch(PartitionQueue& queue) -> Batch;
     auto addProgram(Batch& batch, const PendingWritePtr& write) -> void;
     auto handleReply(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool;
     auto readRow(std::string id, std::uint32_t partition) -> framework::AsyncResult<TurnPtr>;
@@ -196,6 +207,7 @@
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
     store::IStore& m_store;
+    store::IStoreStatus& m_storeStatus;
     peers::IPeers& m_peers;
     HostRegister& m_hosts;
     const framework::IClock& m_clock;
@@ -211,7 +223,6 @@
     std::size_t m_unwrittenBytes = 0;
     std::size_t m_rejected = 0;      ///< turns that the store has rejected and that wait for another attempt
     std::size_t m_rejectedBytes = 0; ///< of these; not among m_unwrittenBytes
-    bool m_isStoreSlow = false;
     bool m_isStopping = false;
 };
 
--- a/src/programs/turnreplication.cpp
+++ b/src/programs/turnreplication.cpp
@@ -106,14 +106,14 @@
         return m_peers.hasWrittenAllTurns(replica.origin, replica.originIncarnation);
     };
     m_replicas.dropDispensable(hasWritten, m_clock.now(), m_retention);
-    if (m_isStopping && m_isStoreSlow) {
-        co_return co_await handOver();
-    }
     for (const auto& id : m_replicas.due(m_clock.now(), m_isStopping)) {
         const auto* replica = m_replicas.find(id);
         if (replica == nullptr) {
             continue;
         }
+        if (m_isStopping && stateFor(programs::partitionOf(replica->program)) == store::StoreState::Away) {
+            co_return co_await handOver();
+        }
         const auto record = replica->record;
         const auto stored = co_await storeRecord(*decodeTurn(record), record);
         if (stored) {
--- a/src/programs/turnrows.cpp
+++ b/src/programs/turnrows.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/digest.h"
 #include "programs/turnrecords.pb.h"
+#include "store/callsize.h"
 
 #include <fmt/format.h>
 
@@ -22,13 +23,6 @@
 /// The limit on a row may apply to its value or to the Base64 text of that, which is four thirds as long.
 constexpr auto s_usableRowShare = 0.75;
 
-/// Limits of the store on one call, in entries and bytes; some bytes are left for the call's frame.
-constexpr auto s_maxCallEntries = std::size_t{100};
-constexpr auto s_maxCallBytes = std::size_t{950'000};
-
-/// Table, partition and key of an entry with their field names; ids and accounts are limited in length.
-constexpr auto s_entryOverheadBytes = std::size_t{400};
-
 auto partKey(const std::string& id, std::size_t number) -> std::string
 {
     return fmt::format("{}{}{:06}", id, s_partSeparator, number);
@@ -91,31 +85,15 @@
     return framework::hash64(record) == head.digest ? decodeTurn(record) : nullptr;
 }
 
-auto CallSize::bytesOf(std::size_t valueBytes) -> std::size_t
-{
-    return (valueBytes + 2) / 3 * 4 + s_entryOverheadBytes;
-}
-
-auto CallSize::fits(std::size_t bytes, std::size_t entries) const -> bool
-{
-    return m_entries == 0 || (m_bytes + bytes <= s_maxCallBytes && m_entries + entries <= s_maxCallEntries);
-}
-
-auto CallSize::add(std::size_t bytes, std::size_t entries) -> void
-{
-    m_bytes += bytes;
-    m_entries += entries;
-}
-
 auto transactionsOf(const std::vector<store::Put>& parts) -> std::vector<store::Transaction>
 {
     auto transactions = std::vector<store::Transaction>();
-    auto size = CallSize();
+    auto size = store::CallSize();
     for (const auto& part : parts) {
-        const auto bytes = CallSize::bytesOf(part.value.size());
+        const auto bytes = store::CallSize::bytesOf(part.value.size());
         if (transactions.empty() || !size.fits(bytes, 1)) {
             transactions.emplace_back();
-            size = CallSize();
+            size = store::CallSize();
         }
         size.add(bytes, 1);
         transactions.back().puts.push_back(part);
--- a/src/programs/turnrows.h
+++ b/src/programs/turnrows.h
@@ -45,22 +45,6 @@
 /// Returns null if `parts` are not all parts of the turn, in order.
 auto joinParts(const DividedTurnHead& head, const std::vector<store::Row>& parts) -> TurnPtr;
 
-/// Counts the entries and bytes of one call, which the store limits.
-class CallSize
-{
-public:
-    /// Whether the call can take further entries. The first ones always fit: a row is smaller than a call.
-    auto fits(std::size_t bytes, std::size_t entries) const -> bool;
-    auto add(std::size_t bytes, std::size_t entries) -> void;
-
-    /// Bytes of a row with a value of `valueBytes` in a call, with its encoding and names.
-    static auto bytesOf(std::size_t valueBytes) -> std::size_t;
-
-private:
-    std::size_t m_bytes = 0;
-    std::size_t m_entries = 0;
-};
-
 /// Divides the parts among transactions that the store accepts.
 auto transactionsOf(const std::vector<store::Put>& parts) -> std::vector<store::Transaction>;
 
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -163,7 +163,7 @@
             read->ended.notify();
         },
         asio::detached);
-    if (!m_isStoreSlow && !read->hasEnded) {
+    if (stateFor(partition) == store::StoreState::Prompt && !read->hasEnded) {
         co_await read->ended.wait(s_storeTimeout);
     }
     co_return read;
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -82,15 +82,19 @@
                .overload = m_overload,
                .directStore = external.store}
     , m_link(context.get_executor(), m_settings, m_incarnation, m_clock, m_metrics, m_shared)
-    , m_store(external.store, m_link, m_clock)
+    , m_routedStore(external.store, external.patientStore != nullptr ? *external.patientStore : external.store, m_storeHealth, m_link,
+                    m_clock)
+    , m_store(context.get_executor(), m_routedStore, m_storeHealth, m_link, m_clock, m_metrics)
+    , m_returnProbe(context.get_executor(), external.store, m_routedStore.directWay(), m_storeHealth, m_clock,
+                    [this] { m_store.onReturn(); })
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
     , m_register(m_store, m_clock, {.host = m_settings.host, .address = m_settings.peerAddress, .incarnation = m_incarnation})
-    , m_journal(context.get_executor(), m_programs, m_store, m_link, m_register, m_clock,
+    , m_journal(context.get_executor(), m_programs, m_store, m_store, m_link, m_register, m_clock,
                 {.cacheBytes = turnMemory(m_settings), .rowBytes = m_settings.storeRowBytes})
-    , m_budgets(context.get_executor(), m_programs, m_store, m_link, m_clock,
+    , m_budgets(context.get_executor(), m_programs, m_store, m_store, m_link, m_clock,
                 m_settings.overloadControl == OverloadControl::ByPrograms ? programs::TokenRequests::InAdvance
                                                                           : programs::TokenRequests::PerTurn)
-    , m_storeWatcher(context.get_executor(), external.store, external.feed, m_store.directWay(), m_fleetState, external.rows, m_clock)
+    , m_storeWatcher(context.get_executor(), external.store, external.feed, m_routedStore.directWay(), m_fleetState, external.rows, m_clock)
     , m_rollouts(context.get_executor(), m_fleetState, external.rows, m_store, m_link, m_clock, m_metrics, m_settings.offersRollouts)
     , m_choice(framework::hash64(m_settings.host, m_incarnation))
     , m_directDialer(context.get_executor())
@@ -126,7 +130,8 @@
         return StatusResponse{.status = isReady() ? 200U : 503U, .contentType = "text/plain", .body = {}};
     })
 {
-    m_shared.store = &m_store;
+    m_shared.store = &m_routedStore;
+    m_shared.groupedStore = &m_store;
     m_shared.journal = &m_journal;
     m_shared.budgets = &m_budgets;
     m_shared.connector = &m_connector;
@@ -142,6 +147,7 @@
     framework::logEvent(LogLevel::Info, "serving", "started",
                         {{"host", m_settings.host}, {"dataCentre", m_settings.dataCentre}, {"incarnation", m_incarnation}});
     m_storeWatcher.start();
+    m_returnProbe.start();
     m_link.start();
     m_readinessServer.start();
     if (m_metricsServer) {
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -5,6 +5,7 @@
 #include "serving/fleetlink.h"
 #include "serving/statusserver.h"
 #include "serving/storewatcher.h"
+#include "store/returnprobe.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,7 +22,8 @@
     store::IChangeFeed& feed;
     const IRowDecoder& rows;
     const IWireCodec& wire;
-    IServerDialer* dialer = nullptr; ///< null: the host connects directly
+    IServerDialer* dialer = nullptr;       ///< null: the host connects directly
+    store::IStore* patientStore = nullptr; ///< `store` with longer time-outs, used while it is slow; null: `store` is used
 };
 
 /// An entry host: creates and connects all its components.
@@ -80,7 +82,10 @@
     ShutdownSchedule m_shutdown;
     SharedState m_shared;
     FleetLink m_link;
-    store::RoutedStore m_store;
+    store::StoreHealth m_storeHealth;
+    store::RoutedStore m_routedStore;
+    store::GroupedStore m_store;
+    store::ReturnProbe m_returnProbe;
     programs::ProgramTable m_programs;
     programs::HostRegister m_register;
     programs::TurnJournal m_journal;
--- a/src/serving/entryhoststatus.cpp
+++ b/src/serving/entryhoststatus.cpp
@@ -14,7 +14,7 @@
     m_metrics.setGauge("unwritten_turns", static_cast<double>(m_journal.unwritten()));
     m_metrics.setGauge("programs", static_cast<double>(m_programs.size()));
     m_metrics.setGauge("backend_connections_made", static_cast<double>(m_connections.createdCount()));
-    m_metrics.setGauge("store_calls_relayed", static_cast<double>(m_store.relayedCalls()));
+    m_metrics.setGauge("store_calls_relayed", static_cast<double>(m_routedStore.relayedCalls()));
     m_metrics.setGauge("log_lines_dropped", static_cast<double>(framework::droppedLogLines()));
     m_metrics.setGauge("relayed_connections_open", m_link.relays());
     m_metrics.setGauge("hosts", m_link.fleetSize());
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -312,6 +312,23 @@
     return ordered;
 }
 
+auto FleetLink::committer(std::string_view partition) const -> std::string
+{
+    auto ranks = Ranks();
+    const auto add = [&](const std::string& address) {
+        ranks.emplace_back(framework::hash64(partition, framework::hash64(address)), address);
+    };
+    for (const auto* peer : reachablePeers()) {
+        if (!peer->last.is_leaving() && peer->last.reaches_store()) {
+            add(peer->address);
+        }
+    }
+    if (!m_isLeaving || ranks.empty()) {
+        add(m_settings.peerAddress);
+    }
+    return std::string(std::ranges::min_element(ranks)->second);
+}
+
 auto FleetLink::unreachableHosts() const -> int
 {
     return m_table.countUnreachable(m_suspects, m_clock.now());
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -17,6 +17,7 @@
 #include "serving/rolloutcontrol.h"
 #include "serving/serverconnector.h"
 #include "serving/serverlimits.h"
+#include "store/groupedstore.h"
 #include "store/routedstore.h"
 
 #include <set>
@@ -37,6 +38,7 @@
     OverloadMonitor& overload;
     store::IStore& directStore;
     store::RoutedStore* store = nullptr;
+    store::GroupedStore* groupedStore = nullptr;
     programs::TurnJournal* journal = nullptr;
     programs::BudgetLedger* budgets = nullptr;
     ServerConnector* connector = nullptr;
@@ -75,6 +77,7 @@
     auto reachableHosts() const -> std::vector<std::string> override;
     auto home(std::string_view program) const -> std::string override;
     auto replicaHosts(std::string_view program) const -> std::vector<std::string> override;
+    auto committer(std::string_view partition) const -> std::string override;
     auto storeProxies() const -> std::vector<std::string> override;
     auto serverRelays() const -> std::vector<std::string> override;
     auto isServerRelay(std::string_view address) const -> bool override;
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -131,7 +131,9 @@
     };
     m_metrics.count("store_calls_for_peers");
     if (request.has_transaction()) {
-        const auto reply = co_await m_state.directStore.transact(store::fromMessage(request.transaction()));
+        auto transaction = store::fromMessage(request.transaction());
+        const auto reply = co_await (request.transaction().is_grouped() ? m_state.groupedStore->commitInGroup(std::move(transaction))
+                                                                        : m_state.directStore.transact(std::move(transaction)));
         if (!reply) {
             setError(reply.error());
             co_return response;
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -285,7 +285,10 @@
     const auto status = result.head.result_int();
     if (isTurn() && status >= 200 && status < 300) {
         recordTurnTime();
-        co_await commitTurn(backend);
+        if (!co_await commitTurn(backend)) {
+            m_response.abort();
+            co_return logEnd("turn_not_stored", status);
+        }
     }
     if (const auto rest = m_continuation ? m_continuation->takeRemainder() : std::string(); !rest.empty()) {
         co_await m_response.sendChunk(rest);
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -120,7 +120,8 @@
     auto recordTurnTime() -> void;
     auto recordOutcome(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
-    auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<void>;
+    /// Returns whether the answer may end as whole.
+    auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<bool>;
     auto settleBudget() -> void;
     auto programKey() const -> programs::ProgramKey;
     auto tokensPerEvent() const -> std::uint64_t;
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -133,13 +133,13 @@
     return static_cast<std::uint64_t>(m_service->engine ? m_service->engine->tokensPerEvent : 1);
 }
 
-auto RequestHandler::commitTurn(const BackendPtr& backend) -> Async<void>
+auto RequestHandler::commitTurn(const BackendPtr& backend) -> Async<bool>
 {
     const auto isKept = *m_history == TurnHistory::KeptByHosts;
     // Tokens that are not yet in the program's row are replicated with the turn that used them.
     if (!isKept && m_isGrantRecorded) {
         settleBudget();
-        co_return;
+        co_return true;
     }
     auto turn = std::make_shared<programs::Turn>();
     turn->id = m_request.id;
@@ -155,11 +155,12 @@
     const auto startedAt = m_context.clock.now();
     m_turn = std::move(turn);
     settleBudget();
-    const auto outcome = co_await m_context.journal.commit(m_turn, m_request.turn.maxTokens);
+    const auto outcome = co_await m_context.journal.commit(m_turn, m_request.turn.maxTokens, m_deadline - s_minRemainingTime);
     recordPhase("commit", startedAt);
     m_commit = framework::nameOf(programs::s_commitOutcomeNames, outcome);
     m_context.metrics.count("turn_commits", {{"outcome", m_commit}});
     m_context.metrics.record("turn_commit_ms", std::chrono::duration<double, std::milli>(m_context.clock.now() - startedAt).count());
+    co_return outcome != programs::CommitOutcome::NotStored;
 }
 
 auto RequestHandler::settleBudget() -> void
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -40,8 +40,10 @@
     m_avoidedUntil = now + std::min(s_firstAvoidance * (1 << doublings), s_longestAvoidance);
 }
 
-RoutedStore::RoutedStore(IStore& direct, peers::IPeers& peers, const framework::IClock& clock)
+RoutedStore::RoutedStore(IStore& direct, IStore& patient, const StoreHealth& health, peers::IPeers& peers, const framework::IClock& clock)
     : m_direct(direct)
+    , m_patient(patient)
+    , m_health(health)
     , m_peers(peers)
     , m_clock(clock)
 {}
@@ -51,14 +53,15 @@
     auto isUnknown = false;
     auto error = std::error_code(StoreError::Unavailable);
     if (m_way.isUsable(m_clock.now())) {
-        auto reply = co_await m_direct.transact(transaction);
+        auto& direct = m_health.isSlow(m_clock.now()) ? m_patient : m_direct;
+        auto reply = co_await direct.transact(transaction);
         note(reply ? std::error_code() : reply.error());
         if (reply) {
             co_return reply;
         }
         error = reply.error();
-        if (error == StoreError::Rejected) {
-            co_return error; // Another host's call would be rejected as well.
+        if (!isRelayOfUse(error)) {
+            co_return error;
         }
         isUnknown = error == StoreError::OutcomeUnknown;
     }
@@ -103,6 +106,12 @@
     co_return page;
 }
 
+auto RoutedStore::isRelayOfUse(const std::error_code& error) const -> bool
+{
+    // Another host's call would be rejected as well, and would only add to the load of a slow store.
+    return error != StoreError::Rejected && (error == StoreError::Unavailable || !m_health.isSlow(m_clock.now()));
+}
+
 auto RoutedStore::note(const std::error_code& error) -> void
 {
     if (!error || error == StoreError::Rejected) {
@@ -110,6 +119,9 @@
         m_isReachable = true;
         return;
     }
+    if (!isRelayOfUse(error)) {
+        return; // A slow store with too many calls: the way is sound.
+    }
     if (m_way.isSound()) {
         framework::logEvent(framework::LogLevel::Warning, "store", "direct_way_lost", {{"reason", framework::codeOf(error)}});
     }
--- a/src/store/routedstore.h
+++ b/src/store/routedstore.h
@@ -3,6 +3,7 @@
 #include "framework/global/iclock.h"
 #include "peers/ipeers.h"
 #include "store/istore.h"
+#include "store/storehealth.h"
 
 namespace laburnummill::store {
 
@@ -33,7 +34,8 @@
 class RoutedStore final : public IStore
 {
 public:
-    RoutedStore(IStore& direct, peers::IPeers& peers, const framework::IClock& clock);
+    /// `patient`: the direct way with longer time-outs, which is used while the store is slow.
+    RoutedStore(IStore& direct, IStore& patient, const StoreHealth& health, peers::IPeers& peers, const framework::IClock& clock);
 
     auto transact(Transaction transaction) -> framework::AsyncResult<TransactionReply> override;
     auto list(ListRequest request) -> framework::AsyncResult<RowPage> override;
@@ -48,9 +50,13 @@
 
 private:
     auto note(const std::error_code& error) -> void;
+    /// Whether another host's call may succeed where the direct way failed.
+    auto isRelayOfUse(const std::error_code& error) const -> bool;
     auto relay(peers::messages::Request request) -> framework::AsyncResult<peers::messages::Response>;
 
     IStore& m_direct;
+    IStore& m_patient;
+    const StoreHealth& m_health;
     peers::IPeers& m_peers;
     const framework::IClock& m_clock;
     DirectWay m_way;
--- /dev/null
+++ b/src/store/storehealth.cpp
@@ -0,0 +1,107 @@
+#include "store/storehealth.h"
+
+#include "store/storeerrors.h"
+
+#include <algorithm>
+
+namespace laburnummill::store {
+
+namespace {
+
+using framework::Instant;
+using framework::Milliseconds;
+
+/// The store answers in about 10 ms; hosts that are short of processor time see some answers later.
+constexpr auto s_lateAnswer = Milliseconds(100);
+
+/// A late answer tells nothing of the store any more after this time.
+constexpr auto s_lateRetention = Milliseconds(5'000);
+
+/// Without an answer for this long the store counts as away. If it is slow, calls may wait for earlier ones.
+constexpr auto s_awayAfter = Milliseconds(700);
+constexpr auto s_awayAfterIfSlow = Milliseconds(2'000);
+
+/// Whether the store has answered, if only to say that the call is at fault or that it has too many calls.
+auto isAnswer(const std::error_code& error) -> bool
+{
+    return !error || (error != StoreError::Unavailable && error != StoreError::OutcomeUnknown);
+}
+
+} // namespace
+
+auto StoreHealth::begin(std::string_view partition, Instant now) -> CallId
+{
+    m_partitions.try_emplace(std::string(partition));
+    m_open.emplace(++m_lastCall, Call{.partition = std::string(partition), .startedAt = now});
+    return m_lastCall;
+}
+
+auto StoreHealth::end(CallId call, const std::error_code& error, Instant now) -> void
+{
+    const auto found = m_open.find(call);
+    if (found == m_open.end()) {
+        return;
+    }
+    const auto wasAway = state(found->second.partition, now) == StoreState::Away;
+    const auto ended = std::move(found->second);
+    m_open.erase(found);
+    if (isAnswer(error)) {
+        onAnswered(ended, wasAway, now);
+        return;
+    }
+    auto& partition = m_partitions[ended.partition];
+    const auto answeredAt = isSlow(now) ? m_answeredAt : partition.answeredAt;
+    partition.hasFailed = partition.hasFailed || error == StoreError::Unavailable || answeredAt < ended.startedAt;
+}
+
+auto StoreHealth::onAnswered(const Call& call, bool wasAway, Instant now) -> void
+{
+    auto& partition = m_partitions[call.partition];
+    partition.answeredAt = now;
+    partition.hasFailed = false;
+    m_answeredAt = now;
+    m_isLate = !wasAway && now - call.startedAt > s_lateAnswer; // A call to a store that was away says nothing of its pace.
+    m_lateAt = m_isLate ? now : m_lateAt;
+}
+
+auto StoreHealth::isSlow(Instant now) const -> bool
+{
+    return m_isLate && now < m_lateAt + s_lateRetention;
+}
+
+auto StoreHealth::state(std::string_view partition, Instant now) const -> StoreState
+{
+    const auto isLate = isSlow(now);
+    const auto known = m_partitions.find(partition);
+    if (known != m_partitions.end() && known->second.hasFailed) {
+        return StoreState::Away;
+    }
+    const auto oldest = std::ranges::find_if(m_open, [partition](const auto& open) { return open.second.partition == partition; });
+    if (oldest != m_open.end() && now >= awayFrom(oldest->second, isLate)) {
+        return StoreState::Away;
+    }
+    return isLate ? StoreState::Slow : StoreState::Prompt;
+}
+
+auto StoreHealth::awayPartitions(Instant now) const -> std::vector<std::string>
+{
+    auto away = std::vector<std::string>();
+    for (const auto& [name, known] : m_partitions) {
+        if (state(name, now) == StoreState::Away) {
+            away.push_back(name);
+        }
+    }
+    return away;
+}
+
+auto StoreHealth::awayFrom(const Call& call, bool isLate) const -> Instant
+{
+    if (isLate || call.startedAt < m_lateAt) {
+        return std::max(call.startedAt, m_answeredAt) + s_awayAfterIfSlow; // It may wait for many calls to its partition.
+    }
+    const auto known = m_partitions.find(call.partition);
+    const auto answeredAt = known == m_partitions.end() ? Instant{} : known->second.answeredAt;
+    return std::max(call.startedAt, answeredAt) + s_awayAfter;
+}
+
+} // namespace laburnummill::store
--- /dev/null
+++ b/src/store/storehealth.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "framework/global/async.h"
+#include "framework/global/nametable.h"
+#include "framework/global/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace laburnummill::store {
+
+/// What recent calls tell of the store.
+enum class StoreState
+{
+    Prompt, ///< it answers in time
+    Slow,   ///< it answers late
+    Away,   ///< it does not answer, or refuses all calls
+};
+
+inline constexpr auto s_storeStateNames = framework::NameTable<StoreState, 3>{{
+    {StoreState::Prompt, "prompt"},
+    {StoreState::Slow, "slow"},
+    {StoreState::Away, "away"},
+}};
+
+/// The state of the store as seen from this host.
+class IStoreStatus
+{
+public:
+    virtual ~IStoreStatus() = default;
+
+    /// The store may be away for some of its partitions only.
+    virtual auto state(std::string_view partition) const -> StoreState = 0;
+
+    /// Returns when a store that was away answers again, or after `timeout`.
+    virtual auto awaitReturn(framework::Milliseconds timeout) -> framework::Async<void> = 0;
+};
+
+/// Derives the state of the store from the calls of this host. Performs no I/O.
+///
+/// A single call without an answer does not tell a store that is away from one that is slow or loses answers: answers to other calls do.
+class StoreHealth
+{
+public:
+    using CallId = std::uint64_t;
+
+    auto begin(std::string_view partition, framework::Instant now) -> CallId;
+
+    /// `error`: of the call; none if it was answered as asked.
+    auto end(CallId call, const std::error_code& error, framework::Instant now) -> void;
+
+    /// Forgets a call that says nothing about the store.
+    auto abandon(CallId call) -> void { m_open.erase(call); }
+
+    auto state(std::string_view partition, framework::Instant now) const -> StoreState;
+
+    /// Partitions with calls of this host for which the store is away.
+    auto awayPartitions(framework::Instant now) const -> std::vector<std::string>;
+
+    /// Whether the store has lately answered late, in any partition.
+    auto isSlow(framework::Instant now) const -> bool;
+
+private:
+    struct Call
+    {
+        std::string partition;
+        framework::Instant startedAt{};
+    };
+
+    struct Partition
+    {
+        framework::Instant answeredAt{};
+        bool hasFailed = false; ///< no call was answered since one failed
+    };
+
+    /// When the store counts as away if the call is still without an answer.
+    auto awayFrom(const Call& call, bool isLate) const -> framework::Instant;
+    auto onAnswered(const Call& call, bool wasAway, framework::Instant now) -> void;
+
+    CallId m_lastCall = 0;
+    std::map<CallId, Call> m_open; ///< oldest first
+    std::map<std::string, Partition, std::less<>> m_partitions;
+    framework::Instant m_answeredAt{}; ///< in any partition
+    framework::Instant m_lateAt{};     ///< of the last late answer
+    bool m_isLate = false;             ///< no prompt answer has followed it
+};
+
+} // namespace laburnummill::store
