Idle connections are kept by the longer of the timeouts, and unread requests are logged

Callers saw: now and then a connection that ended without an answer beside a change of the idle timeout, of which no host wrote a line.

Cause: a connection kept the idle timeout that was in force when it became idle. Callers keep connections by the newest configuration that they know, so that after a longer timeout was in force they sent requests on connections that the host was closing. A shorter timeout closed connections of callers that were reading a response.

Change: when the timer of an idle connection ends, it is set again if the timeout has grown; a response that is being written keeps the timeout with which it began if that is the longer one. A request of which only a part arrived is logged as request_unread with the reason.

--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -113,7 +113,10 @@
 
 auto CallerConnection::closeIfStalled() -> void
 {
-    if (m_writingSince && m_context.servingContext.clock.now() >= *m_writingSince + limits().idleTimeout) {
+    // A configuration that shortens the timeout does not concern responses that have begun.
+    const auto timeout = std::max(m_writeTimeout, limits().idleTimeout);
+    if (m_writingSince && m_context.servingContext.clock.now() >= *m_writingSince + timeout) {
+        m_isStalled = true;
         auto ignored = boost::system::error_code();
         m_socket.close(ignored);
     }
@@ -150,18 +153,40 @@
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    m_timer.expires_after(limits().idleTimeout);
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
-        if (const auto self = weak.lock(); !error && self) {
-            self->closeIfIdle();
-        }
-    });
+    m_idleSince = m_context.servingContext.clock.now();
+    m_idleTimeout = limits().idleTimeout;
+    armIdleTimer();
     auto error = boost::system::error_code();
     co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     m_timer.cancel();
     co_return !error && !isClosedByPeer(m_socket.native_handle());
 }
 
+auto CallerConnection::armIdleTimer() -> void
+{
+    m_timer.expires_at(std::chrono::steady_clock::time_point((m_idleSince + m_idleTimeout).time_since_epoch()));
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+            return;
+        }
+        if (self->m_idleTimeout < self->limits().idleTimeout) {
+            // Callers keep connections open by the timeout of the newest configuration that they know.
+            self->m_idleTimeout = self->limits().idleTimeout;
+            self->armIdleTimer();
+        } else if (!self->m_isBusy && self->closeIfIdle()) {
+            self->m_context.servingContext.metrics.count("caller_connections_closed", {{"reason", "idle"}});
+        }
+    });
+}
+
+auto CallerConnection::logUnread(std::string_view reason) -> void
+{
+    m_context.servingContext.metrics.count("requests_unread", {{"reason", std::string(reason)}});
+    framework::logEvent(framework::LogLevel::Info, "serving", "request_unread",
+                        {{"reason", reason}, {"bytes", m_buffer.size()}, {"stopping", m_context.servingContext.shutdown.hasBegun()}});
+}
+
 auto CallerConnection::readRequest() -> Async<std::optional<CallerRequest>>
 {
     const auto limits = this->limits();
@@ -197,7 +222,7 @@
     m_keepAlive = false;
     if (error.category() != http::make_error_code(http::error::bad_method).category() || error == http::error::end_of_stream ||
         error == http::error::partial_message) {
-        co_return; // The connection is closed or timed out, so no response is expected.
+        co_return logUnread(error.message()); // The connection is closed or timed out, so no response is expected.
     }
     framework::logEvent(framework::LogLevel::Info, "serving", "request_unreadable", {{"reason", error.message()}});
     co_await write(fmt::format("HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -213,6 +238,7 @@
 {
     m_requestId = request.id;
     m_hasStarted = false;
+    m_writeTimeout = limits().idleTimeout;
     m_callerDisconnect = std::make_shared<framework::Cancellation>();
     watchForDisconnect();
     {
--- a/src/serving/callerconnection.h
+++ b/src/serving/callerconnection.h
@@ -46,6 +46,7 @@
     auto endStream() -> framework::Async<bool> override;
     auto abort() -> void override;
     auto hasStarted() const -> bool override { return m_hasStarted; }
+    auto isCallerStalled() const -> bool override { return m_isStalled; }
     auto callerDisconnect() -> framework::Cancellation& override { return *m_callerDisconnect; }
 
 private:
@@ -63,6 +64,8 @@
     /// Decides whether the connection closes after the response that begins now; returns the field that says so and the end of the head.
     auto connectionField() -> std::string_view;
     auto limits() const -> routing::CallerLimits;
+    auto armIdleTimer() -> void;
+    auto logUnread(std::string_view reason) -> void;
     auto close() -> void;
 
     framework::asio::ip::tcp::socket m_socket;
@@ -72,6 +75,9 @@
     framework::CancellationPtr m_callerDisconnect;
     framework::Instant m_acceptedAt;
     std::optional<framework::Instant> m_writingSince; ///< since when the current write has made no progress
+    framework::Instant m_idleSince{};
+    framework::Milliseconds m_idleTimeout{0};
+    framework::Milliseconds m_writeTimeout{0}; ///< idle timeout when the response began
     std::string m_requestId;
     std::string m_pendingHead; ///< response header, written together with the first chunk
     bool m_keepAlive = true;
@@ -80,6 +86,7 @@
     bool m_isBusy = false;
     bool m_hasStarted = false;
     bool m_isBroken = false;
+    bool m_isStalled = false;
     bool m_isWatching = false;
 };
 
--- a/src/serving/iresponsewriter.h
+++ b/src/serving/iresponsewriter.h
@@ -32,6 +32,9 @@
     /// Whether a part of the response was written.
     virtual auto hasStarted() const -> bool = 0;
 
+    /// Whether the connection was closed because the caller takes no more bytes.
+    virtual auto isCallerStalled() const -> bool = 0;
+
     /// Cancelled when the caller disconnects.
     virtual auto callerDisconnect() -> framework::Cancellation& = 0;
 };
