A running turn gets the tokens that it lacks, and one class says why an answer ended

Cause: a turn may begin with fewer tokens than it may generate if a call to the store takes over 60 ms, and nothing asked for the rest later, although the store answered.

Change: BudgetLedger::extend claims the rest from the program's row once the turn needs it, until its time limit; never by a grant without the store.

A turn with a third of its tokens had no way to more before.

--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -205,6 +205,24 @@
     co_return reservation;
 }
 
+auto BudgetLedger::extend(ProgramKey key, std::uint64_t tokens, framework::Instant endBy) -> Async<bool>
+{
+    const auto program = m_table.program(key);
+    const auto startedAt = m_clock.now();
+    while (m_clock.now() < endBy) {
+        if (program->holding.reserve(tokens)) {
+            co_return true;
+        }
+        const auto& refill = m_refills[key];
+        if (!refill.isRunning && refill.last == Refill::Exhausted && m_clock.now() >= startedAt + s_settleTimeout) {
+            co_return false; // Other turns of the program have had time to return what they did not use.
+        }
+        startRefill(key, program, tokens);
+        co_await program->changed.wait(s_settlePollInterval);
+    }
+    co_return false;
+}
+
 auto BudgetLedger::isInProgress(ProgramKey key) -> Async<bool>
 {
     if (hasProgram(key)) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -52,6 +52,10 @@
     /// Whether the program has run turns: this host, its home or a host of another data centre that may stand in for it knows it.
     auto isInProgress(ProgramKey key) -> framework::Async<bool>;
 
+    /// Adds tokens to the reservation of a running turn that was given fewer than it may generate. They come from the program's row or from
+    /// tokens that were returned to this host, never from a grant without the store. Returns false if there are none by `endBy`.
+    auto extend(ProgramKey key, std::uint64_t tokens, framework::Instant endBy) -> framework::Async<bool>;
+
     /// Ends a reservation of which `used` tokens were generated. Returns the number of free tokens to send back to the
     /// program's home host; they are no longer counted on this host. Returns 0 if this host is the home.
     auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t;
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -73,6 +73,71 @@
     CHECK_EQUAL(s_turn, fleet.handedOut);
 }
 
+/// A cut-off data centre grants a turn a third of its tokens while the store is away.
+TEST_GROUP(PartialGrant)
+{
+    Fleet fleet;
+    std::uint64_t granted = 0;
+
+    void setup() override
+    {
+        fleet.store.isAway = true;
+        fleet.cut();
+        asio::co_spawn(
+            fleet.context,
+            [this]() -> Async<void> {
+                const auto reservation = co_await fleet.hosts[0]->ledger.reserve(
+                    fleet.key, {.budget = s_budget, .maxTokens = s_turn, .isFirstTurn = false, .history = TurnHistory::SentByCaller});
+                granted = reservation.tokens;
+            },
+            asio::detached);
+        fleet.run();
+        CHECK_EQUAL(s_turn / 3, granted);
+    }
+
+    auto extend()->bool
+    {
+        auto isExtended = false;
+        asio::co_spawn(
+            fleet.context,
+            [&]() -> Async<void> {
+                isExtended = co_await fleet.hosts[0]->ledger.extend(fleet.key, s_turn - granted, fleet.clock.now() + Milliseconds(500));
+            },
+            asio::detached);
+        fleet.run();
+        return isExtended;
+    }
+
+    /// The turn ends with all tokens that it was given.
+    auto end(std::uint64_t tokens)->void
+    {
+        fleet.handedOut += tokens;
+        fleet.hosts[0]->ledger.settle(fleet.key, tokens, tokens);
+    }
+};
+
+// Guards against streams that were cut off where the tokens granted without the store were used up, although the store answered again.
+TEST(PartialGrant, aRunningTurnGetsTheTokensThatItLacksOnceTheStoreAnswers)
+{
+    fleet.setStoreAway(false);
+    CHECK_TRUE(extend());
+    end(s_turn);
+    fleet.group = {};
+    fleet.recordGrants();
+    for (const auto number : {0, 2, 4}) {
+        fleet.spend(number);
+    }
+    CHECK_TRUE(fleet.handedOut <= s_budget + s_turn);
+    CHECK_TRUE(fleet.handedOut >= s_budget);
+}
+
+TEST(PartialGrant, noFurtherTokensAreGrantedWithoutTheStore)
+{
+    CHECK_FALSE(extend());
+    end(granted);
+    CHECK_EQUAL(0U, fleet.hosts[0]->ledger.reserved(fleet.key));
+}
+
 TEST_GROUP(LargeBudget)
 {
     Fleet fleet;
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -20,6 +20,7 @@
 using framework::Milliseconds;
 using programs::BudgetOutcome;
 using routing::RequestKind;
+using scheduling::EndReason;
 
 /// How long a running program waits for its account's rate limit: a refused call would end the program, and the work done
 /// for it would be lost.
@@ -236,6 +237,7 @@
 
 auto RequestHandler::endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>
 {
+    noteEnd(last);
     if (!m_response.hasStarted()) {
         return refusalAfter(last);
     }
@@ -244,9 +246,25 @@
     return std::nullopt;
 }
 
+auto RequestHandler::noteEnd(const std::optional<AttemptResult>& last) -> void
+{
+    if (m_response.isCallerStalled()) {
+        m_ending.note(EndReason::CallerStalled);
+    } else if (m_interruption->hasCallerDisconnected) {
+        m_ending.note(EndReason::CallerLeft);
+    } else if (m_interruption->isTimedOut || remainingTime() <= s_minRemainingTime) {
+        m_ending.note(EndReason::DeadlineReached);
+    } else if (last) {
+        m_ending.note(last->isTooLarge                           ? EndReason::AnswerTooLarge
+                      : last->outcome == AttemptOutcome::Overdue ? EndReason::ServerTooSlow
+                                                                 : EndReason::ServerBrokeOff);
+    }
+}
+
 auto RequestHandler::canRetry(const AttemptResult& result) const -> bool
 {
-    if (m_interruption->hasCallerDisconnected || m_interruption->isTimedOut || m_isOverGrant || m_attempts >= m_route->maxAttempts) {
+    if (m_interruption->hasCallerDisconnected || m_interruption->isTimedOut || m_ending.reason() == EndReason::TokensUsedUp ||
+        m_attempts >= m_route->maxAttempts) {
         return false;
     }
     switch (result.outcome) {
@@ -286,8 +304,9 @@
     if (isTurn() && status >= 200 && status < 300) {
         recordTurnTime();
         if (!co_await commitTurn(backend)) {
+            m_ending.note(EndReason::TurnNotStored);
             m_response.abort();
-            co_return logEnd("turn_not_stored", status);
+            co_return logEnd("broken_off", status);
         }
     }
     if (const auto rest = m_continuation ? m_continuation->takeRemainder() : std::string(); !rest.empty()) {
@@ -295,6 +314,9 @@
     }
     const auto isDelivered =
         m_response.hasStarted() ? co_await m_response.endStream() : co_await m_response.sendWhole(result.head, std::move(result.body));
+    if (!isDelivered) {
+        noteEnd(std::nullopt);
+    }
     logEnd(isDelivered ? "answered" : "caller_left", status);
 }
 
@@ -403,6 +425,11 @@
     if (m_interruption->hasCallerDisconnected) {
         fields["callerLeft"] = true;
     }
+    if (m_response.hasStarted()) {
+        const auto reason = framework::nameOf(scheduling::s_endReasonNames, m_ending.reason());
+        fields["endedBy"] = reason;
+        m_context.metrics.count("answers_ended", {{"reason", std::string(reason)}});
+    }
     framework::logEvent(status >= 500 ? LogLevel::Warning : LogLevel::Info, "serving", "request_ended", std::move(fields));
 }
 
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -6,6 +6,7 @@
 #include "programs/budgetledger.h"
 #include "programs/turnjournal.h"
 #include "scheduling/admission.h"
+#include "scheduling/answerending.h"
 #include "scheduling/backendchoice.h"
 #include "scheduling/crashhistory.h"
 #include "serving/backendclient.h"
@@ -103,6 +104,8 @@
     auto serve() -> framework::Async<std::optional<Refusal>>;
     /// Ends a request that no server answered: a started response is aborted, otherwise the refusal is returned.
     auto endUnserved(const std::optional<AttemptResult>& last) -> std::optional<Refusal>;
+    /// Notes why the answer ends early.
+    auto noteEnd(const std::optional<AttemptResult>& last) -> void;
     auto attemptOnce(const backends::BackendPtr& backend) -> framework::Async<AttemptResult>;
     /// `stated`: the load that the server stated before the attempt, if it was asked for it.
     auto logAttempt(const backends::Backend& backend, const AttemptResult& result, framework::Milliseconds took,
@@ -123,6 +126,8 @@
     /// Returns whether the answer may end as whole.
     auto commitTurn(const backends::BackendPtr& backend) -> framework::Async<bool>;
     auto settleBudget() -> void;
+    /// Whether the caller may be handed this many tokens of the turn. Tokens that the turn lacks are requested first.
+    auto coverTokens(std::uint64_t tokens) -> framework::Async<bool>;
     auto programKey() const -> programs::ProgramKey;
     auto tokensPerEvent() const -> std::uint64_t;
     auto checkCapacity() -> std::optional<Refusal>;
@@ -179,7 +184,7 @@
     programs::TurnPtr m_turn;      ///< null until the turn has ended
     EventScanner m_events;
     std::optional<StreamContinuation> m_continuation; ///< of a stream that further runs may continue
-    bool m_isOverGrant = false;                       ///< the response was cut off because all granted tokens are used
+    scheduling::AnswerEnding m_ending;
     int m_eventsBeforeAttempt = 0;
     framework::Instant m_firstEventAt{};
     framework::Instant m_lastEventAt{};
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -10,6 +10,7 @@
 using framework::Async;
 using programs::BudgetOutcome;
 using programs::TurnHistory;
+using scheduling::EndReason;
 
 } // namespace
 
@@ -207,9 +208,9 @@
     const auto eventsBefore = m_events.events();
     m_events.feed(bytes);
     const auto tokens = static_cast<std::uint64_t>(m_events.events()) * tokensPerEvent();
-    if (m_reservedTokens > 0 && m_reservedTokens < m_request.turn.maxTokens && tokens > m_reservedTokens) {
-        m_isOverGrant = true;
-        co_return false; // The tokens granted while the store is unreachable are used up.
+    if (!co_await coverTokens(tokens)) {
+        m_ending.note(EndReason::TokensUsedUp);
+        co_return false;
     }
     if (m_events.events() > eventsBefore) {
         recordEvent();
@@ -217,6 +218,21 @@
     co_return co_await m_response.sendChunk(bytes);
 }
 
+auto RequestHandler::coverTokens(std::uint64_t tokens) -> Async<bool>
+{
+    const auto isPartial = m_reservedTokens > 0 && m_reservedTokens < m_request.turn.maxTokens;
+    if (!isPartial || tokens <= m_reservedTokens) {
+        co_return true;
+    }
+    const auto startedAt = m_context.clock.now();
+    const auto lacking = m_request.turn.maxTokens - m_reservedTokens;
+    const auto isExtended = co_await m_context.budgets.extend(programKey(), lacking, m_deadline - s_minRemainingTime);
+    recordPhase("furtherTokens", startedAt);
+    m_context.metrics.count("grants_extended", {{"outcome", isExtended ? "done" : "failed"}});
+    m_reservedTokens += isExtended ? lacking : 0;
+    co_return isExtended;
+}
+
 auto RequestHandler::recordEvent() -> void
 {
     m_awaited.reset();
