A stopping host passes nothing on that may outlast it

Report of other operators: in a planned stop, requests that came late in the grace period were taken, passed on and cut at its end.

What could happen here: requests that come after the signal were refused already if their time limits go beyond the end. But a request that had arrived before and was waiting (for a server, a rate limit, tokens) was passed on at any time, and with a time limit longer than the grace period it was cut without an answer at the end; and a stopping host went on opening connections to servers for other hosts. A route without a time limit ended its requests at once.

Change: before each first attempt the time limit is compared with the end of the host; what may outlast it is refused as stopping, not run. A leaving host relays no further connections. Routes that state no time limit have 60 s.

--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -63,7 +63,8 @@
     const auto& backends = m_state.fleetState.backends();
     const auto backend = backends.find(query.server());
     const auto endpoint = backend ? peers::parseEndpoint(backend->entry.address) : std::nullopt;
-    const auto isUsable = endpoint && backend->entry.startedAt == query.started_at() && !backend->leave->isLeaving() &&
+    // A relayed connection may outlast a host that is leaving.
+    const auto isUsable = !m_isLeaving && endpoint && backend->entry.startedAt == query.started_at() && !backend->leave->isLeaving() &&
                           !backends.isDrained(backend->entry.dataCentre) && !m_state.connector->isCutOff();
     const auto socket = isUsable ? co_await m_state.connector->connectForPeer(*endpoint) : nullptr;
     m_metrics.count("connections_relayed_for_hosts", {{"outcome", !isUsable ? "refused" : socket ? "open" : "failed"}});
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -25,6 +25,9 @@
 /// How long a running program waits for its account's rate limit: a refused call would end the program, and the work done
 /// for it would be lost.
 constexpr auto s_limitWaitTimeout = Milliseconds(700);
+/// Of routes for which the operator states none.
+constexpr auto s_defaultTimeout = Milliseconds(60'000);
+
 constexpr auto s_limitPollInterval = Milliseconds(10);
 
 /// Delays after which callers should retry: by then a slot may be free or another host may have taken over.
@@ -146,6 +149,11 @@
     return m_context.shutdown.mayAccept(m_deadline) ? std::nullopt : std::optional(Refusal::Stopping);
 }
 
+auto RequestHandler::mayBegin() const -> bool
+{
+    return m_mayHaveRun || m_response.hasStarted() || !checkShutdown();
+}
+
 auto RequestHandler::applyRateLimit() -> Async<std::optional<Refusal>>
 {
     if (m_account.empty()) {
@@ -210,7 +218,10 @@
     m_context.serverLimits.recordDemand(m_service->name, m_context.clock.now());
     while (remainingTime() > s_minRemainingTime && !m_interruption->hasCallerDisconnected) {
         co_await probeServers();
-        const auto backend = last ? chooseBackend() : co_await awaitBackend();
+        const auto backend = mayBegin() ? last ? chooseBackend() : co_await awaitBackend() : nullptr;
+        if (!backend && !mayBegin()) {
+            co_return Refusal::Stopping;
+        }
         if (!backend) {
             break;
         }
@@ -368,7 +379,8 @@
 
 auto RequestHandler::startDeadline() -> void
 {
-    const auto limit = m_request.deadline ? std::min(*m_request.deadline, m_route->timeout) : m_route->timeout;
+    const auto timeout = m_route->timeout.count() > 0 ? m_route->timeout : s_defaultTimeout;
+    const auto limit = std::min(m_request.deadline.value_or(timeout), timeout);
     m_deadline = m_request.arrivedAt + limit;
     m_timer.expires_at(std::chrono::steady_clock::time_point(m_deadline.time_since_epoch()));
     m_timer.async_wait([interruption = m_interruption, cancellation = m_cancellation](const boost::system::error_code& error) {
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -90,6 +90,8 @@
     /// Whether servers may be asked to run the request, whose text is complete now.
     auto checkCrashes() -> std::optional<Refusal>;
     auto checkShutdown() const -> std::optional<Refusal>;
+    /// Whether the request may still be passed on: not if it waited when this host was asked to stop and might outlast it.
+    auto mayBegin() const -> bool;
     auto applyRateLimit() -> framework::Async<std::optional<Refusal>>;
     /// Determines whether the request starts a program.
     auto determinePhase() -> framework::Async<void>;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -67,11 +67,11 @@
     auto found = BackendPtr();
     m_probed.clear();
     ++m_context.serverLimits.waiting(m_service->name);
-    while (!found && m_context.clock.now() < waitUntil && !m_interruption->hasCallerDisconnected &&
+    while (!found && mayBegin() && m_context.clock.now() < waitUntil && !m_interruption->hasCallerDisconnected &&
            !m_context.fleetState.backends().areAllLeaving(m_service->name)) {
         auto pause = asio::steady_timer(m_context.executor, s_serverPollInterval);
         co_await pause.async_wait(asio::use_awaitable);
-        found = chooseBackend();
+        found = mayBegin() ? chooseBackend() : nullptr;
     }
     --m_context.serverLimits.waiting(m_service->name);
     recordPhase("server", startedAt);
--- a/testing/standins/entryfleet.cpp
+++ b/testing/standins/entryfleet.cpp
@@ -148,6 +148,11 @@
     return peers::parseEndpoint(m_hosts[host]->settings.callerAddress).value();
 }
 
+auto EntryFleet::peerEndpoint(std::size_t host) const -> asio::ip::tcp::endpoint
+{
+    return peers::parseEndpoint(m_hosts[host]->settings.peerAddress).value();
+}
+
 auto EntryFleet::ask(std::size_t host, const Ask& request) -> Got
 {
     auto got = std::make_shared<std::optional<Got>>();
--- a/testing/standins/entryfleet.h
+++ b/testing/standins/entryfleet.h
@@ -50,6 +50,9 @@
     /// Where callers connect to a host.
     auto callerEndpoint(std::size_t host) const -> asio::ip::tcp::endpoint;
 
+    /// Where other hosts connect to a host.
+    auto peerEndpoint(std::size_t host) const -> asio::ip::tcp::endpoint;
+
     /// Sends a request on a connection of its own and waits for its end.
     auto ask(std::size_t host, const Ask& request) -> Got;
 
