A turn that a slow store would not take in time is refused before it runs

CommitPace keeps the average of the waits; a turn that cannot be stored by its time limit even if it took no time is refused with 503 at once, unrun.

--- a/src/programs/commitpolicy.h
+++ b/src/programs/commitpolicy.h
@@ -16,4 +16,17 @@
 /// `endBy`: until when the caller waits. `isRejected`: the store does not accept the turn, so that waiting is of no use.
 auto nextCommitStep(store::StoreState state, bool isRejected, framework::Instant now, framework::Instant endBy) -> CommitStep;
 
+/// Estimates how long the end of an answer waits for a slow store, from those that have waited lately.
+class CommitPace
+{
+public:
+    auto record(store::StoreState state, framework::Milliseconds took) -> void;
+
+    /// Whether a turn that begins now can be stored by `endBy`, even if its answer took no time.
+    auto canEndBy(store::StoreState state, framework::Instant now, framework::Instant endBy) const -> bool;
+
+private:
+    double m_averageMs = 0; ///< of turns that were stored while the store was slow
+};
+
 } // namespace laburnummill::programs
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -106,6 +106,7 @@
         co_await write->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     if (write->isStored) {
+        m_commitPace.record(stateFor(partitionOf(*turn)), std::chrono::duration_cast<Milliseconds>(m_clock.now() - write->since));
         co_return CommitOutcome::Stored;
     }
     if (step == CommitStep::GiveUp) {
@@ -114,6 +115,11 @@
     co_return co_await keepUnstored(write);
 }
 
+auto TurnJournal::canCommitBy(const ProgramKey& program, Instant endBy) const -> bool
+{
+    return m_commitPace.canEndBy(stateFor(programs::partitionOf(program)), m_clock.now(), endBy);
+}
+
 auto TurnJournal::nextStep(const PendingWrite& write, Instant endBy) const -> CommitStep
 {
     return nextCommitStep(stateFor(partitionOf(*write.turn)), write.rejections > 0, m_clock.now(), endBy);
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -67,6 +67,9 @@
     /// `endBy`, the turn's answer must not end as if it were whole.
     auto commit(TurnPtr turn, std::uint64_t maxTokens, framework::Instant endBy) -> framework::Async<CommitOutcome>;
 
+    /// Whether a turn of the program that begins now can be stored by `endBy`, as far as the pace of the store tells.
+    auto canCommitBy(const ProgramKey& program, framework::Instant endBy) const -> bool;
+
     /// Looks up a turn of any program by id; it is most likely one of `program`.
     auto find(std::string id, ProgramKey program) -> framework::Async<TurnSearch>;
 
@@ -219,6 +222,7 @@
     std::array<PartitionQueue, s_partitionCount> m_partitionQueues;
     HeldReplicas m_replicas;
     std::vector<PendingWritePtr> m_underReplicated; ///< own turns that no other host holds
+    CommitPace m_commitPace;
     std::size_t m_unwritten = 0;
     std::size_t m_unwrittenBytes = 0;
     std::size_t m_rejected = 0;      ///< turns that the store has rejected and that wait for another attempt
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -71,7 +71,7 @@
 
 auto RequestHandler::prepareHistory() -> Async<std::optional<Refusal>>
 {
-    if (m_context.journal.isFull()) {
+    if (m_context.journal.isFull() || !m_context.journal.canCommitBy(programKey(), m_deadline - s_minRemainingTime)) {
         co_return Refusal::StoreUnreachable;
     }
     const auto& turn = m_request.turn;
--- a/src/serving/servingerrors.h
+++ b/src/serving/servingerrors.h
@@ -21,7 +21,7 @@
     ServersLimited,   ///< the servers accept no more requests of this host in time, by the limits that they state
     TooLate,          ///< it cannot be answered before its deadline
     Quarantined,      ///< it repeatedly crashed servers that ran it
-    StoreUnreachable, ///< no more unwritten turns can be held
+    StoreUnreachable, ///< no more unwritten turns can be held, or a slow store would not take the turn in time
     Stopping,         ///< this host is stopping and would end before the request's deadline
     Isolated,         ///< this host is isolated; a host of another data centre should serve the request
     NotRun,           ///< every server that was tried stated that it did not run it
--- a/src/store/groupedstore.cpp
+++ b/src/store/groupedstore.cpp
@@ -243,7 +243,7 @@
 
 auto GroupedStore::startWrite(const Transaction& transaction) -> OpenWrite
 {
-    const auto open = std::make_shared<OpenCall<TransactionReply>>(m_executor);
+    auto open = std::make_shared<OpenCall<TransactionReply>>(m_executor);
     asio::co_spawn(
         m_executor,
         [this, open, transaction]() -> Async<void> {
@@ -308,7 +308,7 @@
 
 auto GroupedStore::startReadBack(const Transaction& transaction) -> OpenRead
 {
-    const auto open = std::make_shared<OpenCall<std::vector<Row>>>(m_executor);
+    auto open = std::make_shared<OpenCall<std::vector<Row>>>(m_executor);
     asio::co_spawn(
         m_executor,
         [this, open, puts = transaction.puts]() mutable -> Async<void> {
