An overloaded partition is no lost way to the store, and hosts announce themselves once

Hosts took it for a lost way to the store (348 times on 33 hosts), said so in heartbeats, and every claim of tokens asked all hosts.

Change: where the store serves other calls of this host, a call that is refused for its partition or answered late is no reason to avoid the way or to call through another host. The announcement repeats only what has not taken effect, with a growing random pause, and finds a write without an answer in its own list.

--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -37,6 +37,7 @@
 constexpr auto s_departureTimeout = Milliseconds(400);
 
 constexpr auto s_announceRetry = Milliseconds(1'000);
+constexpr auto s_longestAnnounceRetry = Milliseconds(4'000);
 constexpr auto s_hostRows = 500;
 
 constexpr auto s_defaultRetention = Milliseconds(60'000);
@@ -272,25 +273,34 @@
 auto EntryHost::announce() -> Async<void>
 {
     auto timer = asio::steady_timer(m_context);
+    auto isWritten = false;
+    auto retry = s_announceRetry;
+    auto random = std::minstd_rand(std::random_device()());
     while (!m_shutdown.hasBegun()) {
-        auto transaction = store::Transaction();
-        transaction.puts.push_back(
-            {.address = {.table = "hosts", .partition = {}, .key = m_settings.host}, .value = m_settings.peerAddress});
-        const auto written = co_await m_store.transact(std::move(transaction));
+        if (!isWritten) {
+            auto transaction = store::Transaction();
+            transaction.puts.push_back(
+                {.address = {.table = "hosts", .partition = {}, .key = m_settings.host}, .value = m_settings.peerAddress});
+            isWritten = static_cast<bool>(co_await m_store.transact(std::move(transaction)));
+        }
         const auto hosts = co_await m_store.list({.table = "hosts", .partition = {}, .from = {}, .to = {}, .limit = s_hostRows});
         if (hosts) {
             for (const auto& row : hosts.value().rows) {
                 m_link.addHost(row.value);
+                // A write without an answer may have taken effect.
+                isWritten = isWritten || (row.address.key == m_settings.host && row.value == m_settings.peerAddress);
             }
         }
         const auto isRegistered = co_await m_register.enter(m_journal.retention());
         if (isRegistered) {
             m_link.markRegistered();
         }
-        if (written && hosts && isRegistered) {
+        if (isWritten && hosts && isRegistered) {
             co_return;
         }
-        timer.expires_after(s_announceRetry);
+        // All hosts of a fleet may start together and write to one partition.
+        timer.expires_after(retry + Milliseconds(random() % static_cast<unsigned>(retry.count())));
+        retry = std::min(retry * 2, s_longestAnnounceRetry);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
--- a/src/store/returnprobe.cpp
+++ b/src/store/returnprobe.cpp
@@ -65,7 +65,7 @@
         co_return;
     }
     m_health.end(call, {}, m_clock.now());
-    m_way.succeeded();
+    m_way.succeeded(m_clock.now());
     const auto away = m_health.awayPartitions(m_clock.now());
     framework::logEvent(framework::LogLevel::Info, "store", "partition_returned", {{"partition", partition}, {"away", away.size()}});
     m_onAnswer();
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -22,12 +22,16 @@
 /// A peer's own call to the store takes up to its timeout (700 ms) and the way there and back.
 constexpr auto s_relayTimeout = Milliseconds(900);
 
+/// A store that refuses all calls of a host serves none within this time.
+constexpr auto s_recentSuccess = Milliseconds(500);
+
 constexpr auto s_helpersTried = std::size_t{2};
 
 } // namespace
 
-auto DirectWay::succeeded() -> void
+auto DirectWay::succeeded(Instant now) -> void
 {
+    m_succeededAt = now;
     m_failuresInARow = 0;
     m_hasAnswered = true;
     m_avoidedUntil = {};
@@ -54,13 +58,14 @@
     auto error = std::error_code(StoreError::Unavailable);
     if (m_way.isUsable(m_clock.now())) {
         auto& direct = m_health.isSlow(m_clock.now()) ? m_patient : m_direct;
+        const auto startedAt = m_clock.now();
         auto reply = co_await direct.transact(transaction);
-        note(reply ? std::error_code() : reply.error());
+        note(reply ? std::error_code() : reply.error(), startedAt);
         if (reply) {
             co_return reply;
         }
         error = reply.error();
-        if (!isRelayOfUse(error)) {
+        if (!isRelayOfUse(error, startedAt)) {
             co_return error;
         }
         isUnknown = error == StoreError::OutcomeUnknown;
@@ -86,8 +91,9 @@
 auto RoutedStore::list(ListRequest request) -> AsyncResult<RowPage>
 {
     if (m_way.isUsable(m_clock.now())) {
+        const auto startedAt = m_clock.now();
         auto page = co_await m_direct.list(request);
-        note(page ? std::error_code() : page.error());
+        note(page ? std::error_code() : page.error(), startedAt);
         if (page || page.error() == StoreError::Rejected) {
             co_return page;
         }
@@ -106,21 +112,25 @@
     co_return page;
 }
 
-auto RoutedStore::isRelayOfUse(const std::error_code& error) const -> bool
+auto RoutedStore::isRelayOfUse(const std::error_code& error, Instant startedAt) const -> bool
 {
-    // Another host's call would be rejected as well, and would only add to the load of a slow store.
-    return error != StoreError::Rejected && (error == StoreError::Unavailable || !m_health.isSlow(m_clock.now()));
+    if (error == StoreError::Rejected) {
+        return false; // Another host's call would be rejected as well.
+    }
+    // Where the store serves other calls, too many wait for this one's partition, and further ones would only add to these.
+    const auto since = error == StoreError::Overloaded ? startedAt - s_recentSuccess : startedAt;
+    return error == StoreError::Unavailable || !(m_health.isSlow(m_clock.now()) || m_way.hasSucceededSince(since));
 }
 
-auto RoutedStore::note(const std::error_code& error) -> void
+auto RoutedStore::note(const std::error_code& error, Instant startedAt) -> void
 {
     if (!error || error == StoreError::Rejected) {
-        m_way.succeeded(); // A call that is rejected was answered: the fault is in the call.
+        m_way.succeeded(m_clock.now()); // A call that is rejected was answered: the fault is in the call.
         m_isReachable = true;
         return;
     }
-    if (!isRelayOfUse(error)) {
-        return; // A slow store with too many calls: the way is sound.
+    if (!isRelayOfUse(error, startedAt)) {
+        return; // The way is sound.
     }
     if (m_way.isSound()) {
         framework::logEvent(framework::LogLevel::Warning, "store", "direct_way_lost", {{"reason", framework::codeOf(error)}});
--- a/src/store/routedstore.h
+++ b/src/store/routedstore.h
@@ -11,7 +11,7 @@
 class DirectWay
 {
 public:
-    auto succeeded() -> void;
+    auto succeeded(framework::Instant now) -> void;
 
     /// Leaves the way alone for a while that grows with each failure in a row.
     auto failed(framework::Instant now) -> void;
@@ -21,12 +21,16 @@
     /// Whether the last call on it was answered.
     auto isSound() const -> bool { return m_failuresInARow == 0; }
 
+    /// Whether a call on it was served at `time` or later.
+    auto hasSucceededSince(framework::Instant time) const -> bool { return m_hasAnswered && m_succeededAt >= time; }
+
     /// Whether any call on it was answered.
     auto hasAnswered() const -> bool { return m_hasAnswered; }
 
 private:
     int m_failuresInARow = 0;
     bool m_hasAnswered = false;
+    framework::Instant m_succeededAt{};
     framework::Instant m_avoidedUntil{};
 };
 
@@ -49,9 +53,9 @@
     auto relayedCalls() const -> std::uint64_t { return m_relayedCalls; }
 
 private:
-    auto note(const std::error_code& error) -> void;
+    auto note(const std::error_code& error, framework::Instant startedAt) -> void;
     /// Whether another host's call may succeed where the direct way failed.
-    auto isRelayOfUse(const std::error_code& error) const -> bool;
+    auto isRelayOfUse(const std::error_code& error, framework::Instant startedAt) const -> bool;
     auto relay(peers::messages::Request request) -> framework::AsyncResult<peers::messages::Response>;
 
     IStore& m_direct;
