An answer that is ready at its time limit may still be stored and end

Cause: the wait for the store ended at the time limit, at which servers stop. Change: it may end 300 ms later.

Comments of ReturnProbe and GroupedStore reworded.

--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -12,6 +12,9 @@
 using programs::TurnHistory;
 using scheduling::EndReason;
 
+/// Time after its time limit in which an answer that is ready may still be stored and end: servers stop at the limit itself.
+constexpr auto s_lateEndAllowance = framework::Milliseconds(300);
+
 } // namespace
 
 auto RequestHandler::mayStartProgram() const -> bool
@@ -156,7 +159,7 @@
     const auto startedAt = m_context.clock.now();
     m_turn = std::move(turn);
     settleBudget();
-    const auto outcome = co_await m_context.journal.commit(m_turn, m_request.turn.maxTokens, m_deadline - s_minRemainingTime);
+    const auto outcome = co_await m_context.journal.commit(m_turn, m_request.turn.maxTokens, m_deadline + s_lateEndAllowance);
     recordPhase("commit", startedAt);
     m_commit = framework::nameOf(programs::s_commitOutcomeNames, outcome);
     m_context.metrics.count("turn_commits", {{"outcome", m_commit}});
--- a/src/store/groupedstore.cpp
+++ b/src/store/groupedstore.cpp
@@ -38,9 +38,10 @@
 /// Repetitions of a write whose answers are lost.
 constexpr auto s_mostRepeats = 8;
 
+/// A call ends by its own time-out; its end interrupts this wait.
 constexpr auto s_longWait = Milliseconds(5'000);
 
-/// Transactions that are written in groups have a partition of many rows.
+/// All rows of a transaction are in one partition. That of the operator's and the hosts' rows has no name.
 auto partitionOf(const Transaction& transaction) -> std::string
 {
     return !transaction.puts.empty()         ? transaction.puts.front().address.partition
--- a/src/store/returnprobe.h
+++ b/src/store/returnprobe.h
@@ -14,7 +14,7 @@
 class ReturnProbe
 {
 public:
-    /// `onAnswer`: called with each partition that answers again.
+    /// `onAnswer`: called whenever a partition answers again.
     ReturnProbe(framework::asio::any_io_executor executor, IStore& direct, DirectWay& way, StoreHealth& health,
                 const framework::IClock& clock, std::function<void()> onAnswer);
 
