Logs tell which side ended an answer, what hosts call each other for, and how late they are

Change: attempts log the side that failed and the error of the connection; a caller that takes no more bytes is reported as such; peer_calls by purpose; tokens_lent with the state of the store by StoreHealth and the age of the claim; timer_delay_ms.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -328,9 +328,15 @@
     program.unrecordedTokens += granted;
     program.holding.grant(granted);
     program.holding.reserve(tokens);
-    framework::logEvent(
-        framework::LogLevel::Warning, "programs", "tokens_lent",
-        {{"program", key.program}, {"tokens", tokens}, {"lentInAll", program.unrecordedTokens}, {"isFirstTurn", demand.isFirstTurn}});
+    framework::logEvent(framework::LogLevel::Warning, "programs", "tokens_lent",
+                        {{"program", key.program},
+                         {"tokens", tokens},
+                         {"mostTokens", demand.maxTokens},
+                         {"lentInAll", program.unrecordedTokens},
+                         {"isFirstTurn", demand.isFirstTurn},
+                         {"supporters", program.supporters},
+                         {"store", framework::nameOf(store::s_storeStateNames, m_storeStatus.state(partitionName(partitionOf(key))))},
+                         {"claimMs", claimAge(key).count()}});
     return {.outcome = BudgetOutcome::Reserved, .tokens = tokens, .isRecorded = false};
 }
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -284,6 +284,15 @@
     return m_isStoreSlow || (refill.storeCallStartedAt && m_clock.now() >= *refill.storeCallStartedAt + s_storeTimeout);
 }
 
+auto BudgetLedger::claimAge(const ProgramKey& key) const -> Milliseconds
+{
+    const auto found = m_refills.find(key);
+    if (found == m_refills.end() || !found->second.storeCallStartedAt) {
+        return Milliseconds(0);
+    }
+    return std::chrono::duration_cast<Milliseconds>(m_clock.now() - *found->second.storeCallStartedAt);
+}
+
 auto BudgetLedger::startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void
 {
     if (m_refills[key].isRunning) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -150,6 +150,8 @@
     auto returnTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
     auto mayHaveUnrecordedGrants() const -> bool;
     auto isStoreUnavailable(const ProgramKey& key) -> bool;
+    /// For how long the call to the store has been under way that is to claim tokens; 0 if none is.
+    auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<Refill>;
     static auto prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t;
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -82,10 +82,17 @@
     return parser.need_eof() ? ResponseFraming::ConnectionEnd : ResponseFraming::Length;
 }
 
-/// Reads the rest of a body and passes each chunk to `consume`. Returns false on an error or if `consume` returns false.
-/// `isTooLarge` is set if the body exceeds the parser's limit.
+/// How reading a body ended.
+struct BodyEnd
+{
+    AttemptFault fault = AttemptFault::None;
+    boost::system::error_code error; ///< of the connection
+    bool isTooLarge = false;         ///< the body exceeds the parser's limit
+};
+
+/// Reads the rest of a body and passes each chunk to `consume`, which returns false to end it.
 template<class Consumer>
-auto readBody(BackendConnection& connection, Parser& parser, bool& isTooLarge, Consumer consume) -> Async<bool>
+auto readBody(BackendConnection& connection, Parser& parser, Consumer consume) -> Async<BodyEnd>
 {
     auto storage = std::array<char, s_chunkBytes>();
     while (!parser.is_done()) {
@@ -96,13 +103,22 @@
         if (error == http::error::need_buffer) {
             error = {};
         }
-        isTooLarge = isTooLarge || error == http::error::body_limit;
         const auto read = storage.size() - parser.get().body().size;
-        if (error || (read > 0 && !co_await consume(std::string_view(storage.data(), read)))) {
-            co_return false;
+        if (error) {
+            co_return BodyEnd{.fault = AttemptFault::ReadingBody, .error = error, .isTooLarge = error == http::error::body_limit};
+        }
+        if (read > 0 && !co_await consume(std::string_view(storage.data(), read))) {
+            co_return BodyEnd{.fault = AttemptFault::PassingOn, .error = {}};
         }
     }
-    co_return true;
+    co_return BodyEnd();
+}
+
+auto noteEnd(AttemptResult& result, const BodyEnd& end) -> void
+{
+    result.fault = end.fault;
+    result.error = end.error;
+    result.isTooLarge = result.isTooLarge || end.isTooLarge;
 }
 
 /// Reads the rest of the expected response and decides the attempt's outcome. Returns whether the connection can be kept.
@@ -116,6 +132,7 @@
         streamHandler != nullptr && isSuccess && metadata.isSigned && !metadata.isEncoded && metadata.requestId == request.id;
     result.outcome = AttemptOutcome::Truncated;
     if (isStreamed && !co_await streamHandler->onHead(head)) {
+        result.fault = AttemptFault::PassingOn;
         co_return false;
     }
     const auto consume = [&result, streamHandler, isStreamed](std::string_view bytes) -> Async<bool> {
@@ -129,7 +146,11 @@
         result.body += bytes;
         co_return true;
     };
-    if (!co_await readBody(connection, parser, result.isTooLarge, consume) || (isStreamed && !streamHandler->isComplete(*result.framing))) {
+    noteEnd(result, co_await readBody(connection, parser, consume));
+    if (result.fault == AttemptFault::None && isStreamed && !streamHandler->isComplete(*result.framing)) {
+        result.fault = AttemptFault::Incomplete;
+    }
+    if (result.fault != AttemptFault::None) {
         co_return false;
     }
     const auto isNotRun = metadata.saysNotRun && !isSuccess;
@@ -181,8 +202,9 @@
     ++connection->requests;
     result.outcome = AttemptOutcome::Lost;
     result.sentAt = m_clock.now();
-    const auto isSent = co_await send(*connection, request, target);
-    const auto isWhole = isSent && co_await receive(*connection, backend, request, streamHandler, result);
+    result.error = co_await send(*connection, request, target);
+    result.fault = result.error ? AttemptFault::Sending : AttemptFault::None;
+    const auto isWhole = !result.error && co_await receive(*connection, backend, request, streamHandler, result);
     result.isClosedImmediately = result.outcome == AttemptOutcome::Lost && result.head.result_int() == 0 &&
                                  connection->buffer.size() == 0 && m_clock.now() < result.sentAt + s_minWorkTime;
     const auto isSilent = result.head.result_int() == 0 && connection->buffer.size() == 0 && m_clock.now() >= result.sentAt + s_silence;
@@ -223,13 +245,12 @@
     parser.header_limit(s_headLimit);
     parser.body_limit(s_probeBodyLimit);
     auto error = boost::system::error_code();
-    const auto isSent = co_await send(*connection, request, target);
+    const auto isSent = !co_await send(*connection, request, target);
     if (isSent) {
         co_await http::async_read_header(connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     const auto ignore = [](std::string_view) -> Async<bool> { co_return true; };
-    auto isTooLarge = false;
-    if (!isSent || error || !co_await readBody(*connection, parser, isTooLarge, ignore)) {
+    if (!isSent || error || (co_await readBody(*connection, parser, ignore)).fault != AttemptFault::None) {
         co_return false;
     }
     m_connections.reportAnswer(*connection);
@@ -245,13 +266,14 @@
     co_return isFromServer;
 }
 
-auto BackendClient::send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> Async<bool>
+auto BackendClient::send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target)
+    -> Async<boost::system::error_code>
 {
     const auto head = formatHead(m_wire.encodeRequest(request, target), request.body.size());
     const auto buffers = std::array{asio::buffer(head), asio::buffer(request.body)};
     auto error = boost::system::error_code();
     co_await asio::async_write(connection.socket, buffers, asio::redirect_error(asio::use_awaitable, error));
-    co_return !error;
+    co_return error;
 }
 
 auto BackendClient::receive(BackendConnection& connection, const backends::BackendPtr& backend, const CallerRequest& request,
@@ -267,6 +289,8 @@
         co_await http::async_read_header(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             result.isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
+            result.fault = AttemptFault::ReadingHeader;
+            result.error = error;
             co_return false;
         }
         m_connections.reportAnswer(connection);
@@ -280,8 +304,8 @@
         const auto metadata = m_wire.decodeReply(head);
         if (!metadata.requestId.empty() && metadata.requestId != request.id) {
             // The response to an abandoned request; the expected response follows it.
-            if (!co_await readBody(connection, parser, result.isTooLarge, [](std::string_view) -> Async<bool> { co_return true; }) ||
-                !parser.keep_alive()) {
+            noteEnd(result, co_await readBody(connection, parser, [](std::string_view) -> Async<bool> { co_return true; }));
+            if (result.fault != AttemptFault::None || !parser.keep_alive()) {
                 co_return false;
             }
             continue;
--- a/src/serving/backendclient.h
+++ b/src/serving/backendclient.h
@@ -35,6 +35,27 @@
     {AttemptOutcome::Overdue, "overdue"},
 }};
 
+/// Where an attempt that did not end as it should have failed. The end of the response comes from the server, unless the error says that
+/// this host had closed the connection.
+enum class AttemptFault
+{
+    None,
+    Sending,       ///< the request could not be sent
+    ReadingHeader, ///< of the response
+    ReadingBody,   ///< of the response
+    PassingOn,     ///< the caller's connection, or this host, did not take the response
+    Incomplete,    ///< the server ended the response before its content did
+};
+
+inline constexpr auto s_attemptFaultNames = framework::NameTable<AttemptFault, 6>{{
+    {AttemptFault::None, "none"},
+    {AttemptFault::Sending, "sending"},
+    {AttemptFault::ReadingHeader, "reading_header"},
+    {AttemptFault::ReadingBody, "reading_body"},
+    {AttemptFault::PassingOn, "passing_on"},
+    {AttemptFault::Incomplete, "incomplete"},
+}};
+
 struct AttemptResult
 {
     AttemptOutcome outcome = AttemptOutcome::NotSent;
@@ -47,7 +68,9 @@
     bool isTooLarge = false;           ///< the response was abandoned because of its size
     framework::Instant sentAt{};       ///< when sending the request began
     framework::Milliseconds toHead{0}; ///< from sending the request to reading the response header
-    bool isClosedImmediately = false;  ///< the connection closed without a response, sooner than a server can process a request
+    AttemptFault fault = AttemptFault::None;
+    boost::system::error_code error;  ///< of the server's connection; none if that did not fail
+    bool isClosedImmediately = false; ///< the connection closed without a response, sooner than a server can process a request
 };
 
 /// Receives a streamed response as it arrives. Each method returns false to abort the attempt.
@@ -80,7 +103,9 @@
         -> framework::Async<bool>;
 
 private:
-    auto send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target) -> framework::Async<bool>;
+    /// Returns the error of the connection; none if the request was sent.
+    auto send(BackendConnection& connection, const CallerRequest& request, const BackendTarget& target)
+        -> framework::Async<boost::system::error_code>;
     auto receive(BackendConnection& connection, const backends::BackendPtr& backend, const CallerRequest& request,
                  IStreamHandler* streamHandler, AttemptResult& result) -> framework::Async<bool>;
 
--- a/src/serving/callerconnection.cpp
+++ b/src/serving/callerconnection.cpp
@@ -354,6 +354,9 @@
     m_writingSince.reset();
     if (error) {
         m_isBroken = true;
+        m_context.servingContext.metrics.count("caller_writes_failed");
+        framework::logEvent(framework::LogLevel::Info, "serving", "caller_write_failed",
+                            {{"request", m_requestId}, {"reason", error.message()}, {"stalled", m_isStalled}});
     }
     co_return !error;
 }
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -206,7 +206,9 @@
     auto seconds = 0;
     while (true) {
         timer.expires_after(s_limitsPeriod);
+        const auto dueAt = m_clock.now() + s_limitsPeriod;
         co_await timer.async_wait(asio::use_awaitable);
+        m_metrics.record("timer_delay_ms", std::chrono::duration<double, std::milli>(m_clock.now() - dueAt).count());
         applyLimits();
         m_connector.maintain();
         m_fleetState.backends().expire(m_clock.now());
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/digest.h"
 #include "framework/logging/log.h"
+#include "peers/requestpurpose.h"
 #include "store/storemessages.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -371,10 +372,11 @@
 
 auto FleetLink::call(std::string address, messages::Request request, Milliseconds timeout) -> AsyncResult<messages::Response>
 {
-    m_metrics.count("peer_calls");
+    const auto purpose = std::string(framework::nameOf(peers::s_requestPurposeNames, peers::purposeOf(request)));
+    m_metrics.count("peer_calls", {{"purpose", purpose}});
     auto response = co_await m_port.call(address, std::move(request), timeout);
     if (!response) {
-        m_metrics.count("peer_calls_failed");
+        m_metrics.count("peer_calls_failed", {{"purpose", purpose}});
         m_suspects[address] = m_clock.now(); // It is not called again until a heartbeat is received from it.
     }
     co_return response;
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -204,6 +204,11 @@
     if (result.isRelayed) {
         entry["relayed"] = true;
     }
+    if (result.fault != AttemptFault::None) {
+        entry["fault"] = framework::nameOf(s_attemptFaultNames, result.fault);
+        entry["error"] = result.error.message();
+        m_context.metrics.count("attempts_failed", {{"fault", std::string(framework::nameOf(s_attemptFaultNames, result.fault))}});
+    }
     if (result.isTooLarge) {
         entry["tooLarge"] = true;
     }
@@ -214,7 +219,7 @@
         entry["after"] = *m_request.lastEventId;
     }
     if (m_continuation && m_continuation->fault()) {
-        entry["fault"] = framework::nameOf(s_continuationFaultNames, *m_continuation->fault());
+        entry["continuation"] = framework::nameOf(s_continuationFaultNames, *m_continuation->fault());
     }
     m_attemptLog.push_back(std::move(entry));
 }
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -218,7 +218,11 @@
     if (m_events.events() > eventsBefore) {
         recordEvent();
     }
-    co_return co_await m_response.sendChunk(bytes);
+    const auto isTaken = co_await m_response.sendChunk(bytes);
+    if (!isTaken) {
+        m_ending.note(m_response.isCallerStalled() ? EndReason::CallerStalled : EndReason::CallerLeft);
+    }
+    co_return isTaken;
 }
 
 auto RequestHandler::coverTokens(std::uint64_t tokens) -> Async<bool>
