A host short of processor time does not take the store for slow or away

What callers saw: on hosts short of processor time turns took the ways that are meant for a slow or absent store: writes through a committer, writes read back, answers kept in memory or not stored in time (turn_not_stored, LOST beside changes of the configuration).

Cause: StoreHealth and GroupedStore measure how late the host handles an answer, not how late the store sends it. While events wait for the processor, a store that answers in 10 ms counts as slow after 100 ms and as away after 700 ms, and each of these ways costs more processor time on several hosts.

Change: ResponsiveClock counts the time in which a host handles events; StoreHealth and the time-out after which a write is read back go by it.

--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -205,6 +205,7 @@
         : incarnation(incarnation)
         , peers(fleet, number)
         , store(shared)
+        , health(clock)
         , grouped(context.get_executor(), store, health, peers, clock, metrics)
         , probe(context.get_executor(), store, way, health, clock, [this] { grouped.onReturn(); })
         , table(context.get_executor(), clock, std::to_string(number), incarnation)
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -70,6 +70,7 @@
 EntryHost::EntryHost(asio::io_context& context, HostSettings settings, framework::Metrics& metrics, const ExternalInterfaces& external)
     : m_context(context)
     , m_settings(std::move(settings))
+    , m_responsiveClock(m_clock, s_limitsPeriod)
     , m_metrics(metrics)
     , m_incarnation(newIncarnation())
     , m_fleetState(external.rows, m_clock)
@@ -85,7 +86,7 @@
     , m_link(context.get_executor(), m_settings, m_incarnation, m_clock, m_metrics, m_shared)
     , m_routedStore(external.store, external.patientStore != nullptr ? *external.patientStore : external.store, m_storeHealth, m_link,
                     m_clock)
-    , m_store(context.get_executor(), m_routedStore, m_storeHealth, m_link, m_clock, m_metrics)
+    , m_store(context.get_executor(), m_routedStore, m_storeHealth, m_link, m_responsiveClock, m_metrics)
     , m_returnProbe(context.get_executor(), external.store, m_routedStore.directWay(), m_storeHealth, m_clock,
                     [this] { m_store.onReturn(); })
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
@@ -206,9 +207,8 @@
     auto seconds = 0;
     while (true) {
         timer.expires_after(s_limitsPeriod);
-        const auto dueAt = m_clock.now() + s_limitsPeriod;
         co_await timer.async_wait(asio::use_awaitable);
-        m_metrics.record("timer_delay_ms", std::chrono::duration<double, std::milli>(m_clock.now() - dueAt).count());
+        tick();
         applyLimits();
         m_connector.maintain();
         m_fleetState.backends().expire(m_clock.now());
@@ -246,6 +246,11 @@
     m_isFlushing = false;
 }
 
+auto EntryHost::tick() -> void
+{
+    m_metrics.record("timer_delay_ms", static_cast<double>(m_responsiveClock.tick().count()));
+}
+
 auto EntryHost::applyLimits() -> void
 {
     const auto& routes = m_fleetState.routes();
--- a/src/serving/entryhost.h
+++ b/src/serving/entryhost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/responsiveclock.h"
 #include "framework/global/systemclock.h"
 #include "serving/callerconnection.h"
 #include "serving/fleetlink.h"
@@ -63,6 +64,8 @@
     auto stopWaitReason(bool haveBalancersNoticed, bool areCallersClosed) const -> std::string_view;
     auto logStop(std::string_view event, framework::Instant startedAt, framework::Json fields) const -> void;
     auto applyLimits() -> void;
+    /// Called by a timer with the period of the responsive clock.
+    auto tick() -> void;
     /// Returns whether all callers' connections are closed.
     auto closeIdleCallers() -> bool;
     auto statusResponse(std::string_view path) const -> StatusResponse;
@@ -72,6 +75,7 @@
     framework::asio::io_context& m_context;
     HostSettings m_settings;
     framework::SystemClock m_clock;
+    framework::ResponsiveClock m_responsiveClock;
     framework::Metrics& m_metrics;
     std::uint64_t m_incarnation;
     FleetState m_fleetState;
@@ -82,7 +86,7 @@
     ShutdownSchedule m_shutdown;
     SharedState m_shared;
     FleetLink m_link;
-    store::StoreHealth m_storeHealth;
+    store::StoreHealth m_storeHealth{m_responsiveClock};
     store::RoutedStore m_routedStore;
     store::GroupedStore m_store;
     store::ReturnProbe m_returnProbe;
--- a/src/store/groupedstore.cpp
+++ b/src/store/groupedstore.cpp
@@ -94,14 +94,14 @@
 
 auto GroupedStore::state(std::string_view partition) const -> StoreState
 {
-    return m_health.state(partition, m_clock.now());
+    return m_health.state(partition);
 }
 
 auto GroupedStore::list(ListRequest request) -> AsyncResult<RowPage>
 {
-    const auto call = m_health.begin(request.partition, m_clock.now());
+    const auto call = m_health.begin(request.partition);
     auto page = co_await m_store.list(std::move(request));
-    m_health.end(call, errorOf(page), m_clock.now());
+    m_health.end(call, errorOf(page));
     co_return page;
 }
 
@@ -111,7 +111,7 @@
     if (partition.empty()) {
         co_return co_await writeOnce(std::move(transaction));
     }
-    if (!m_health.isSlow(m_clock.now())) {
+    if (!m_health.isSlow()) {
         co_return co_await write(std::move(transaction));
     }
     auto committer = m_peers.committer(partition);
@@ -135,7 +135,7 @@
     auto request = peers::messages::Request();
     *request.mutable_transaction() = toMessage(transaction);
     request.mutable_transaction()->set_is_grouped(true);
-    const auto call = m_health.begin(partitionOf(transaction), m_clock.now());
+    const auto call = m_health.begin(partitionOf(transaction));
     const auto response = co_await m_peers.call(std::move(committer), std::move(request), s_committerTimeout);
     m_metrics.count("transactions_sent_to_committers", {{"outcome", response ? "answered" : "failed"}});
     if (!response) {
@@ -143,7 +143,7 @@
         co_return peers::PeerError::Unreachable;
     }
     const auto error = static_cast<StoreError>(response.value().store_error());
-    m_health.end(call, response.value().store_error() == 0 ? std::error_code() : error, m_clock.now());
+    m_health.end(call, response.value().store_error() == 0 ? std::error_code() : error);
     if (response.value().store_error() != 0) {
         co_return error;
     }
@@ -160,7 +160,7 @@
     auto& queue = m_queues[partition];
     const auto open = std::make_shared<OpenCall<TransactionReply>>(m_executor);
     queue.waiting.push_back(std::make_shared<Member>(Member{.transaction = std::move(transaction), .write = open}));
-    if (queue.writers < (m_health.isSlow(m_clock.now()) ? s_groupsInFlight : 1)) {
+    if (queue.writers < (m_health.isSlow() ? s_groupsInFlight : 1)) {
         ++queue.writers;
         asio::co_spawn(m_executor, writeGroups(partition), asio::detached);
     }
@@ -220,8 +220,10 @@
 auto GroupedStore::write(Transaction transaction) -> AsyncResult<TransactionReply>
 {
     const auto open = startWrite(transaction);
-    if (!open->result) {
-        co_await open->ended.wait(s_promptAnswer);
+    // While this host is short of processor time, the answer may have arrived: reading back would only add to what it has to do.
+    const auto isLateAt = m_clock.now() + s_promptAnswer;
+    while (!open->result && m_clock.now() < isLateAt) {
+        co_await open->ended.wait(std::chrono::ceil<Milliseconds>(isLateAt - m_clock.now()));
     }
     if (!isDecided(*open)) {
         co_return co_await settle(transaction, open);
@@ -236,9 +238,9 @@
 
 auto GroupedStore::writeOnce(Transaction transaction) -> AsyncResult<TransactionReply>
 {
-    const auto call = m_health.begin(partitionOf(transaction), m_clock.now());
+    const auto call = m_health.begin(partitionOf(transaction));
     auto reply = co_await m_store.transact(std::move(transaction));
-    m_health.end(call, errorOf(reply), m_clock.now());
+    m_health.end(call, errorOf(reply));
     co_return reply;
 }
 
@@ -260,12 +262,12 @@
     auto isRepeated = false;
     auto interval = s_promptAnswer;
     m_unsettled.insert(open);
-    for (auto repeats = 0; !isDecided(*open) && !m_health.isSlow(m_clock.now());) {
+    for (auto repeats = 0; !isDecided(*open) && !m_health.isSlow();) {
         const auto read = startReadBack(transaction);
         if (!read->result) {
             co_await read->ended.wait(interval);
         }
-        if (isDecided(*open) || m_health.isSlow(m_clock.now())) {
+        if (isDecided(*open) || m_health.isSlow()) {
             break;
         }
         if (!read->result || !*read->result) { // The store is away.
--- a/src/store/returnprobe.cpp
+++ b/src/store/returnprobe.cpp
@@ -45,7 +45,7 @@
         timer.expires_after(s_probeInterval);
         co_await timer.async_wait(asio::use_awaitable);
         m_isFollowingUp = false;
-        if (const auto away = m_health.awayPartitions(m_clock.now()); !away.empty()) {
+        if (const auto away = m_health.awayPartitions(); !away.empty()) {
             startProbe(away[m_next++ % away.size()]);
         }
     }
@@ -58,15 +58,15 @@
 
 auto ReturnProbe::probe(std::string partition) -> Async<void>
 {
-    const auto call = m_health.begin(partition, m_clock.now());
+    const auto call = m_health.begin(partition);
     const auto page = co_await m_direct.list({.table = s_probedTable, .partition = partition, .from = s_probedFrom, .to = {}, .limit = 1});
     if (!page) {
         m_health.abandon(call); // The other calls tell that it is away.
         co_return;
     }
-    m_health.end(call, {}, m_clock.now());
+    m_health.end(call, {});
     m_way.succeeded(m_clock.now());
-    const auto away = m_health.awayPartitions(m_clock.now());
+    const auto away = m_health.awayPartitions();
     framework::logEvent(framework::LogLevel::Info, "store", "partition_returned", {{"partition", partition}, {"away", away.size()}});
     m_onAnswer();
     if (!m_isFollowingUp) {
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -57,7 +57,7 @@
     auto isUnknown = false;
     auto error = std::error_code(StoreError::Unavailable);
     if (m_way.isUsable(m_clock.now())) {
-        auto& direct = m_health.isSlow(m_clock.now()) ? m_patient : m_direct;
+        auto& direct = m_health.isSlow() ? m_patient : m_direct;
         const auto startedAt = m_clock.now();
         auto reply = co_await direct.transact(transaction);
         note(reply ? std::error_code() : reply.error(), startedAt);
@@ -119,7 +119,7 @@
     }
     // Where the store serves other calls, too many wait for this one's partition, and further ones would only add to these.
     const auto since = error == StoreError::Overloaded ? startedAt - s_recentSuccess : startedAt;
-    return error == StoreError::Unavailable || !(m_health.isSlow(m_clock.now()) || m_way.hasSucceededSince(since));
+    return error == StoreError::Unavailable || !(m_health.isSlow() || m_way.hasSucceededSince(since));
 }
 
 auto RoutedStore::note(const std::error_code& error, Instant startedAt) -> void
--- a/src/store/storehealth.cpp
+++ b/src/store/storehealth.cpp
@@ -29,28 +29,32 @@
 
 } // namespace
 
-auto StoreHealth::begin(std::string_view partition, Instant now) -> CallId
+StoreHealth::StoreHealth(const framework::IClock& clock)
+    : m_clock(clock)
+{}
+
+auto StoreHealth::begin(std::string_view partition) -> CallId
 {
     m_partitions.try_emplace(std::string(partition));
-    m_open.emplace(++m_lastCall, Call{.partition = std::string(partition), .startedAt = now});
+    m_open.emplace(++m_lastCall, Call{.partition = std::string(partition), .startedAt = m_clock.now()});
     return m_lastCall;
 }
 
-auto StoreHealth::end(CallId call, const std::error_code& error, Instant now) -> void
+auto StoreHealth::end(CallId call, const std::error_code& error) -> void
 {
     const auto found = m_open.find(call);
     if (found == m_open.end()) {
         return;
     }
-    const auto wasAway = state(found->second.partition, now) == StoreState::Away;
+    const auto wasAway = state(found->second.partition) == StoreState::Away;
     const auto ended = std::move(found->second);
     m_open.erase(found);
     if (isAnswer(error)) {
-        onAnswered(ended, wasAway, now);
+        onAnswered(ended, wasAway, m_clock.now());
         return;
     }
     auto& partition = m_partitions[ended.partition];
-    const auto answeredAt = isSlow(now) ? m_answeredAt : partition.answeredAt;
+    const auto answeredAt = isSlow() ? m_answeredAt : partition.answeredAt;
     partition.hasFailed = partition.hasFailed || error == StoreError::Unavailable || answeredAt < ended.startedAt;
 }
 
@@ -64,30 +68,30 @@
     m_lateAt = m_isLate ? now : m_lateAt;
 }
 
-auto StoreHealth::isSlow(Instant now) const -> bool
+auto StoreHealth::isSlow() const -> bool
 {
-    return m_isLate && now < m_lateAt + s_lateRetention;
+    return m_isLate && m_clock.now() < m_lateAt + s_lateRetention;
 }
 
-auto StoreHealth::state(std::string_view partition, Instant now) const -> StoreState
+auto StoreHealth::state(std::string_view partition) const -> StoreState
 {
-    const auto isLate = isSlow(now);
+    const auto isLate = isSlow();
     const auto known = m_partitions.find(partition);
     if (known != m_partitions.end() && known->second.hasFailed) {
         return StoreState::Away;
     }
     const auto oldest = std::ranges::find_if(m_open, [partition](const auto& open) { return open.second.partition == partition; });
-    if (oldest != m_open.end() && now >= awayFrom(oldest->second, isLate)) {
+    if (oldest != m_open.end() && m_clock.now() >= awayFrom(oldest->second, isLate)) {
         return StoreState::Away;
     }
     return isLate ? StoreState::Slow : StoreState::Prompt;
 }
 
-auto StoreHealth::awayPartitions(Instant now) const -> std::vector<std::string>
+auto StoreHealth::awayPartitions() const -> std::vector<std::string>
 {
     auto away = std::vector<std::string>();
     for (const auto& [name, known] : m_partitions) {
-        if (state(name, now) == StoreState::Away) {
+        if (state(name) == StoreState::Away) {
             away.push_back(name);
         }
     }
--- a/src/store/storehealth.h
+++ b/src/store/storehealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/async.h"
+#include "framework/global/iclock.h"
 #include "framework/global/nametable.h"
 #include "framework/global/time.h"
 
@@ -48,21 +49,24 @@
 public:
     using CallId = std::uint64_t;
 
-    auto begin(std::string_view partition, framework::Instant now) -> CallId;
+    /// `clock`: should not count the time in which this host does not handle answers, see framework::ResponsiveClock.
+    explicit StoreHealth(const framework::IClock& clock);
+
+    auto begin(std::string_view partition) -> CallId;
 
     /// `error`: of the call; none if it was answered as asked.
-    auto end(CallId call, const std::error_code& error, framework::Instant now) -> void;
+    auto end(CallId call, const std::error_code& error) -> void;
 
     /// Forgets a call that says nothing about the store.
     auto abandon(CallId call) -> void { m_open.erase(call); }
 
-    auto state(std::string_view partition, framework::Instant now) const -> StoreState;
+    auto state(std::string_view partition) const -> StoreState;
 
     /// Partitions with calls of this host for which the store is away.
-    auto awayPartitions(framework::Instant now) const -> std::vector<std::string>;
+    auto awayPartitions() const -> std::vector<std::string>;
 
     /// Whether the store has lately answered late, in any partition.
-    auto isSlow(framework::Instant now) const -> bool;
+    auto isSlow() const -> bool;
 
 private:
     struct Call
@@ -81,6 +85,7 @@
     auto awayFrom(const Call& call, bool isLate) const -> framework::Instant;
     auto onAnswered(const Call& call, bool wasAway, framework::Instant now) -> void;
 
+    const framework::IClock& m_clock;
     CallId m_lastCall = 0;
     std::map<CallId, Call> m_open; ///< oldest first
     std::map<std::string, Partition, std::less<>> m_partitions;
--- a/src/store/tests/groupedstoretest.cpp
+++ b/src/store/tests/groupedstoretest.cpp
@@ -54,7 +54,7 @@
     asio::io_context& context = fleet.context;
     framework::SystemClock clock;
     framework::Metrics metrics;
-    StoreHealth health;
+    StoreHealth health{clock};
     LossyStore lossy;
     GroupedStore grouped{context.get_executor(), lossy, health, fleet.hosts[0]->peers, clock, metrics};
 
--- a/src/store/tests/routedstoretest.cpp
+++ b/src/store/tests/routedstoretest.cpp
@@ -47,7 +47,7 @@
     framework::ManualClock clock;
     programs::testing::JournalFleet fleet{3};
     BusyStore busy{clock};
-    StoreHealth health;
+    StoreHealth health{clock};
     RoutedStore routed{busy, busy, health, fleet.hosts[0]->peers, clock};
 
     auto write()->void
--- a/src/store/tests/storehealthtest.cpp
+++ b/src/store/tests/storehealthtest.cpp
@@ -1,35 +1,60 @@
 #include "store/storehealth.h"
+#include "framework/global/manualclock.h"
+#include "framework/global/responsiveclock.h"
 #include "store/storeerrors.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace laburnummill::store;
-using laburnummill::framework::Instant;
+using laburnummill::framework::ManualClock;
 using laburnummill::framework::Milliseconds;
+using laburnummill::framework::ResponsiveClock;
 
 TEST_GROUP(StoreHealth)
 {
-    StoreHealth health;
-    Instant now = Instant(Milliseconds(10'000));
+    ManualClock clock;
+    StoreHealth health{clock};
+
+    void setup() override
+    {
+        clock.advance(Milliseconds(10'000));
+    }
 
     auto call(const std::string& partition, Milliseconds took, std::error_code error = {})->void
     {
-        const auto id = health.begin(partition, now);
-        now += took;
-        health.end(id, error, now);
+        const auto id = health.begin(partition);
+        clock.advance(took);
+        health.end(id, error);
     }
 
     auto is(StoreState state, const std::string& partition = "t1")->bool
     {
-        return health.state(partition, now) == state;
+        return health.state(partition) == state;
     }
 };
 
-TEST_GROUP_BASE(SlowStoreHealth, TEST_GROUP_CppUTestGroupStoreHealth){void setup() override{call("t1", Milliseconds(540));
+TEST_GROUP_BASE(SlowStoreHealth, TEST_GROUP_CppUTestGroupStoreHealth){void setup() override{TEST_GROUP_CppUTestGroupStoreHealth::setup();
+call("t1", Milliseconds(540));
 }
 }
 ;
 
+/// The host handles no event for 900 ms, while the store answers in time.
+TEST_GROUP(StoreHealthOfABusyHost)
+{
+    ManualClock clock;
+    ResponsiveClock responsive{clock, Milliseconds(50)};
+    StoreHealth health{responsive};
+
+    auto runFor(Milliseconds time)->void
+    {
+        for (auto passed = Milliseconds(0); passed < time; passed += Milliseconds(50)) {
+            clock.advance(Milliseconds(50));
+            responsive.tick();
+        }
+    }
+};
+
 TEST(StoreHealth, aStoreThatAnswersInTimeIsPrompt)
 {
     call("t1", Milliseconds(10));
@@ -53,41 +78,41 @@
 
 TEST(StoreHealth, oneAnswerThatIsLostAmongOthersDoesNotMeanThatItIsAway)
 {
-    const auto lost = health.begin("t1", now);
+    const auto lost = health.begin("t1");
     call("t1", Milliseconds(10));
-    now += Milliseconds(690);
+    clock.advance(Milliseconds(690));
     CHECK_TRUE(is(StoreState::Prompt));
-    health.end(lost, StoreError::OutcomeUnknown, now);
+    health.end(lost, StoreError::OutcomeUnknown);
     CHECK_TRUE(is(StoreState::Prompt));
 }
 
 TEST(StoreHealth, onePartitionCanBeAwayWhileOthersAnswer)
 {
-    (void)health.begin("t1", now);
-    now += Milliseconds(650);
+    (void)health.begin("t1");
+    clock.advance(Milliseconds(650));
     call("t2", Milliseconds(10));
-    now += Milliseconds(50);
+    clock.advance(Milliseconds(50));
     CHECK_TRUE(is(StoreState::Away));
     CHECK_TRUE(is(StoreState::Prompt, "t2"));
-    CHECK_EQUAL(1U, health.awayPartitions(now).size());
+    CHECK_EQUAL(1U, health.awayPartitions().size());
 }
 
 TEST(SlowStoreHealth, aCallThatWaitsForOthersOfItsPartitionDoesNotMeanThatItIsAway)
 {
-    (void)health.begin("t1", now);
-    now += Milliseconds(900);
+    (void)health.begin("t1");
+    clock.advance(Milliseconds(900));
     CHECK_TRUE(is(StoreState::Slow));
     call("t2", Milliseconds(540));
-    now += Milliseconds(1'000);
+    clock.advance(Milliseconds(1'000));
     CHECK_TRUE(is(StoreState::Slow));
-    now += Milliseconds(1'000);
+    clock.advance(Milliseconds(1'000));
     CHECK_TRUE(is(StoreState::Away));
 }
 
 TEST(SlowStoreHealth, callsFromBeforeItBecamePromptAgainAreStillGivenTime)
 {
-    (void)health.begin("t1", now);
-    now += Milliseconds(500);
+    (void)health.begin("t1");
+    clock.advance(Milliseconds(500));
     call("t2", Milliseconds(540));
     call("t2", Milliseconds(10));
     CHECK_TRUE(is(StoreState::Prompt, "t2"));
@@ -101,3 +126,38 @@
     call("t1", Milliseconds(300));
     CHECK_TRUE(is(StoreState::Prompt));
 }
+
+// Guards against hosts short of processor time that took the store for slow or away because they handled its answers late.
+TEST(StoreHealthOfABusyHost, anAnswerThatTheHostHandlesLateSaysNothingOfTheStore)
+{
+    const auto call = health.begin("t1");
+    clock.advance(Milliseconds(900));
+    CHECK_TRUE(health.state("t1") == StoreState::Prompt);
+    health.end(call, {});
+    responsive.tick();
+    CHECK_TRUE(health.state("t1") == StoreState::Prompt);
+    CHECK_FALSE(health.isSlow());
+}
+
+TEST(StoreHealthOfABusyHost, aSilentStoreIsNoticedOnceTheHostHandlesEventsAgain)
+{
+    const auto silent = health.begin("t1");
+    clock.advance(Milliseconds(900));
+    responsive.tick();
+    runFor(Milliseconds(550));
+    CHECK_TRUE(health.state("t1") == StoreState::Prompt);
+    runFor(Milliseconds(100));
+    CHECK_TRUE(health.state("t1") == StoreState::Away);
+    health.abandon(silent);
+}
+
+TEST(StoreHealthOfABusyHost, aSlowStoreIsNoticedByAHostThatIsAlwaysLate)
+{
+    const auto call = health.begin("t1");
+    for (auto turn = 0; turn < 3; ++turn) {
+        clock.advance(Milliseconds(200));
+        responsive.tick();
+    }
+    health.end(call, {});
+    CHECK_TRUE(health.isSlow());
+}
