The ledger goes by the state of the store that everything else goes by

Cause: BudgetLedger had a notion of its own: one call to the store that took over 60 ms made the store unavailable for it. It then asked all hosts, asked all for support, granted a part of the turn's tokens without the row, and the answer was cut off where these ended. Each step costs processor time on all hosts, so that calls to the store take longer: a metastable failure that one push starts.

Change: the ledger goes by StoreHealth. A home host that waits for a slow store is not taken for silent.

--- a/src/programs/budgetadvance.cpp
+++ b/src/programs/budgetadvance.cpp
@@ -52,7 +52,8 @@
         },
         asio::detached);
     if (!call->hasEnded) {
-        co_await call->ended.wait(m_homeWait.limit());
+        // A home host that waits for a slow store is not silent.
+        co_await call->ended.wait(storeState(key) == store::StoreState::Slow ? s_transferTimeout : m_homeWait.limit());
     }
     if (!call->hasEnded) {
         call->isGivenUp = true;
@@ -142,7 +143,7 @@
 
 auto BudgetLedger::prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void
 {
-    if (program->holding.free() < maxTokens && !m_isStoreSlow) {
+    if (program->holding.free() < maxTokens && storeState(key) == store::StoreState::Prompt) {
         startRefill(key, program, maxTokens);
     }
 }
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -239,7 +239,7 @@
 
 auto BudgetLedger::mayHaveUnrecordedGrants() const -> bool
 {
-    return m_isStoreSlow || m_peers.wasStoreImpairedRecently();
+    return m_peers.wasStoreImpairedRecently();
 }
 
 auto BudgetLedger::unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t
@@ -252,7 +252,7 @@
 
 auto BudgetLedger::isStoreAway(const ProgramKey& key) const -> bool
 {
-    return m_storeStatus.state(partitionName(partitionOf(key))) == store::StoreState::Away;
+    return storeState(key) == store::StoreState::Away;
 }
 
 auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
@@ -335,7 +335,7 @@
                          {"lentInAll", program.unrecordedTokens},
                          {"isFirstTurn", demand.isFirstTurn},
                          {"supporters", program.supporters},
-                         {"store", framework::nameOf(store::s_storeStateNames, m_storeStatus.state(partitionName(partitionOf(key))))},
+                         {"store", framework::nameOf(store::s_storeStateNames, storeState(key))},
                          {"claimMs", claimAge(key).count()}});
     return {.outcome = BudgetOutcome::Reserved, .tokens = tokens, .isRecorded = false};
 }
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -19,11 +19,11 @@
 using framework::AsyncResult;
 using framework::Milliseconds;
 
-/// The store usually answers in about 10 ms; after this time-out the other hosts are queried.
-constexpr auto s_storeTimeout = Milliseconds(60);
+/// Interval in which a turn that waits for a claim considers the state of the store.
+constexpr auto s_claimPollInterval = Milliseconds(60);
 
-/// Used after a slow or failed request: a store that refuses connections does so within this time.
-constexpr auto s_slowStoreTimeout = Milliseconds(10);
+/// A store that is away and refuses connections does so within this time.
+constexpr auto s_refusalTime = Milliseconds(10);
 
 /// A host that is asked whether it knows a program answers from memory.
 constexpr auto s_programQueryTimeout = Milliseconds(30);
@@ -74,7 +74,11 @@
     }
     const auto home = m_peers.home(key.program);
     if (home != m_peers.ownAddress() && !m_homeWait.isSilent(home, m_clock.now())) {
-        const auto atHome = co_await reserveAt(key, home, demand);
+        auto atHome = co_await reserveAt(key, home, demand);
+        while (atHome && atHome->outcome == BudgetOutcome::Undetermined && storeState(key) == store::StoreState::Slow &&
+               m_clock.now() + s_settleTimeout < demand.endBy) {
+            atHome = co_await reserveAt(key, home, demand); // The home host goes on with the claim.
+        }
         if (atHome) {
             co_return *atHome;
         }
@@ -160,15 +164,15 @@
             break;
         }
         startRefill(key, program, maxTokens);
-        co_await program->changed.wait(m_isStoreSlow ? s_slowStoreTimeout : s_storeTimeout);
+        co_await awaitClaim(key, program, maxTokens, deadline, demand.endBy);
         if (program->holding.reserve(maxTokens)) {
             reservation = {.outcome = BudgetOutcome::Reserved, .tokens = maxTokens};
             break;
         }
-        const auto isUnavailable = isStoreUnavailable(key);
-        const auto last = m_refills[key].last;
+        const auto isAway = isStoreAway(key);
+        const auto last = lastRefill(key);
         const auto freeBefore = program->holding.free();
-        if (m_clock.now() >= requeryAt) {
+        if (m_clock.now() >= requeryAt && (isAway || !isClaiming(key))) {
             others = co_await queryPeers(key, program, maxTokens);
             requeryAt = m_clock.now() + s_requeryInterval;
         }
@@ -179,11 +183,11 @@
         if (program->holding.free() >= maxTokens || hasRecalled) {
             continue;
         }
-        if (isUnavailable && !others.grantor.empty() && !isGrantor) {
+        if (isAway && !others.grantor.empty() && !isGrantor) {
             // One host grants tokens for all hosts that reach it.
             const auto fromGrantor = co_await reserveAt(key, others.grantor, demand);
             reservation = fromGrantor.value_or(Reservation());
-        } else if (isUnavailable) {
+        } else if (isAway) {
             const auto mayGrant = mayGrantWithoutStore(key, *program, demand, others);
             const auto supported = mayGrant ? co_await collectSupport(key, program) : std::string();
             if (!supported.empty() && !isGrantor) {
@@ -195,8 +199,8 @@
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Exhausted : BudgetOutcome::Undetermined;
         }
-        const auto mayChange = hasRunningTurns || (reservation.outcome == BudgetOutcome::Undetermined && !isUnavailable);
-        if (reservation.outcome == BudgetOutcome::Reserved || !mayChange || m_clock.now() >= deadline) {
+        const auto mayChange = hasRunningTurns || (reservation.outcome == BudgetOutcome::Undetermined && !isAway);
+        if (reservation.outcome == BudgetOutcome::Reserved || !mayChange || isOver(key, deadline, demand.endBy)) {
             break;
         }
         co_await program->changed.wait(s_settlePollInterval);
@@ -275,13 +279,38 @@
     return program && (program->isRowKnown || program->holding.totalGranted() > 0);
 }
 
-auto BudgetLedger::isStoreUnavailable(const ProgramKey& key) -> bool
+auto BudgetLedger::storeState(const ProgramKey& key) const -> store::StoreState
 {
-    const auto& refill = m_refills[key];
-    if (!refill.isRunning) {
-        return refill.last == Refill::Failed;
+    return m_storeStatus.state(partitionName(partitionOf(key)));
+}
+
+auto BudgetLedger::isOver(const ProgramKey& key, framework::Instant deadline, framework::Instant endBy) const -> bool
+{
+    const auto isSlow = storeState(key) == store::StoreState::Slow;
+    return m_clock.now() >= (isSlow ? std::max(deadline, endBy) : deadline);
+}
+
+auto BudgetLedger::isClaiming(const ProgramKey& key) const -> bool
+{
+    const auto found = m_refills.find(key);
+    return found != m_refills.end() && found->second.isRunning;
+}
+
+auto BudgetLedger::lastRefill(const ProgramKey& key) const -> Refill
+{
+    const auto found = m_refills.find(key);
+    return found == m_refills.end() ? Refill::Done : found->second.last;
+}
+
+auto BudgetLedger::awaitClaim(const ProgramKey& key, ProgramPtr program, std::uint64_t maxTokens, framework::Instant deadline,
+                              framework::Instant endBy) -> Async<void>
+{
+    if (isStoreAway(key)) {
+        co_await program->changed.wait(s_refusalTime);
+    }
+    while (isClaiming(key) && !isStoreAway(key) && program->holding.free() < maxTokens && !isOver(key, deadline, endBy)) {
+        co_await program->changed.wait(s_claimPollInterval);
     }
-    return m_isStoreSlow || (refill.storeCallStartedAt && m_clock.now() >= *refill.storeCallStartedAt + s_storeTimeout);
 }
 
 auto BudgetLedger::claimAge(const ProgramKey& key) const -> Milliseconds
@@ -316,7 +345,7 @@
 {
     for (auto attempt = 0; attempt < s_maxWriteAttempts; ++attempt) {
         if (program->isRowBeingWritten) {
-            co_await program->changed.wait(s_storeTimeout);
+            co_await program->changed.wait(s_claimPollInterval);
             continue;
         }
         const auto free = program->holding.free();
@@ -374,9 +403,7 @@
     transaction.conditions.push_back(change.condition);
     transaction.puts.push_back(change.put);
     program->isRowBeingWritten = true;
-    const auto startedAt = m_clock.now();
     const auto reply = co_await m_store.transact(std::move(transaction));
-    m_isStoreSlow = !reply || m_clock.now() - startedAt > s_storeTimeout;
     program->isRowBeingWritten = false;
     if (!reply) {
         if (reply.error() == store::StoreError::OutcomeUnknown) {
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -149,7 +149,14 @@
     auto prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
     auto returnTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
     auto mayHaveUnrecordedGrants() const -> bool;
-    auto isStoreUnavailable(const ProgramKey& key) -> bool;
+    /// Waits until the claim of tokens that is under way ends or `isOver`; not while the store is away.
+    auto awaitClaim(const ProgramKey& key, ProgramPtr program, std::uint64_t maxTokens, framework::Instant deadline,
+                    framework::Instant endBy) -> framework::Async<void>;
+    auto isClaiming(const ProgramKey& key) const -> bool;
+    auto lastRefill(const ProgramKey& key) const -> Refill;
+    /// Whether a turn waits no longer: it waits until `deadline`, and while the store is slow until `endBy`.
+    auto isOver(const ProgramKey& key, framework::Instant deadline, framework::Instant endBy) const -> bool;
+    auto storeState(const ProgramKey& key) const -> store::StoreState;
     /// For how long the call to the store has been under way that is to claim tokens; 0 if none is.
     auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
@@ -195,7 +202,6 @@
     int m_openTransfers = 0;
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
-    bool m_isStoreSlow = false;
     std::minstd_rand m_random{std::random_device()()};
 };
 
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -27,6 +27,8 @@
         if (isAway) {
             co_return store::StoreError::Unavailable;
         }
+        auto pause = asio::steady_timer(co_await asio::this_coro::executor, answerTime);
+        co_await pause.async_wait(asio::use_awaitable);
         if (transaction.conditions.front().version != m_row.version) {
             co_return store::TransactionReply{.isApplied = false, .version = m_row.version, .currentRows = {m_row}};
         }
@@ -46,7 +48,7 @@
 
     auto state(std::string_view) const -> store::StoreState override
     {
-        return isAway ? store::StoreState::Away : store::StoreState::Prompt;
+        return isAway ? store::StoreState::Away : isSlow ? store::StoreState::Slow : store::StoreState::Prompt;
     }
 
     auto awaitReturn(Milliseconds timeout) -> Async<void> override
@@ -56,6 +58,8 @@
     }
 
     bool isAway = false;
+    bool isSlow = false;
+    Milliseconds answerTime{0};
 
 private:
     store::Row m_row;
@@ -168,6 +172,31 @@
     CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others), peers.called.size());
 }
 
+// Guards against hosts short of processor time that took a store that answers for unavailable, asked all others and granted a part of the
+// tokens, at the end of which the answer was cut off.
+TEST(BudgetLedger, aClaimThatTakesLongIsWaitedForWhileTheStoreAnswers)
+{
+    store.answerTime = Milliseconds(300);
+    for (const auto* program : {"p1", "p2"}) {
+        key.program = program;
+        const auto reservation = reserve(demand(TurnHistory::SentByCaller));
+        CHECK_TRUE(reservation.outcome == BudgetOutcome::Reserved && reservation.isRecorded);
+        CHECK_EQUAL(300U, reservation.tokens);
+    }
+    CHECK_EQUAL(0U, peers.called.size());
+}
+
+TEST(BudgetLedger, aTurnWaitsForASlowStoreUntilItsTimeLimit)
+{
+    store.isSlow = true;
+    store.answerTime = Milliseconds(1'200);
+    auto patient = demand(TurnHistory::SentByCaller);
+    patient.endBy = clock.now() + Milliseconds(3'000);
+    const auto reservation = reserve(patient);
+    CHECK_TRUE(reservation.outcome == BudgetOutcome::Reserved && reservation.isRecorded);
+    CHECK_EQUAL(0U, peers.called.size());
+}
+
 TEST(BudgetLedger, aProgramThatNobodyKnowsIsGrantedOneTurnsTokensWithoutTheStore)
 {
     store.isAway = true;
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -42,6 +42,7 @@
     /// The turn has no predecessor in the program. If the history is sent by the caller, turns do not tell, and this is false.
     bool isFirstTurn = false;
     TurnHistory history = TurnHistory::KeptByHosts;
+    framework::Instant endBy{}; ///< until when the turn may wait for a slow store; the epoch if its host asks again
 };
 
 /// The partition that holds a program's row and its turns.
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -116,8 +116,11 @@
     }
     const auto startedAt = m_context.clock.now();
     const auto isFirstTurn = *m_history == TurnHistory::KeptByHosts && turn.previousTurn.empty();
-    const auto reservation = co_await m_context.budgets.reserve(
-        programKey(), {.budget = turn.budget, .maxTokens = turn.maxTokens, .isFirstTurn = isFirstTurn, .history = *m_history});
+    const auto reservation = co_await m_context.budgets.reserve(programKey(), {.budget = turn.budget,
+                                                                               .maxTokens = turn.maxTokens,
+                                                                               .isFirstTurn = isFirstTurn,
+                                                                               .history = *m_history,
+                                                                               .endBy = m_deadline - s_minRemainingTime});
     recordPhase("budget", startedAt);
     if (reservation.outcome == BudgetOutcome::Reserved) {
         m_reservedTokens = reservation.tokens;
