A claim of tokens asks hosts that have something to tell of its program, not all hosts

What callers saw: on 295 hosts too little was served (SHORT): 10,640 calls between hosts beside 31 turns at one host in 9 s, on hosts with 0.12 of a core.

Cause: while any host was unreachable, had turns to write or lacked the store within the last ten seconds, which with 295 hosts is nearly always, every claim of tokens asked all reachable hosts, and writes of turns claimed no tokens for the next ones. One flag for the whole fleet stood for a fact about single programs.

Change: hosts report in heartbeats a summary (64 bits) of the programs of which they have granted tokens that are not in the row, or support the grants of a host that they do not reach. OutageGrantSearch decides whom to ask: these, the grantor that the host itself supports, and all reachable hosts only if more than half of all hosts are unreachable, or if a grantor is silent, so that its supporters count. Grants within one turn's tokens need not be known (OutageGrants). Hosts of the release before are asked if they lack the store or hold turns.

Tests: allHostsAreAskedAfterAnOutage stated the fault (294 calls a claim) and is replaced by four: those that report are asked, all are asked about a silent grantor and by a host in a minority, and theCallsOfATurnDoNotGrowWithTheHosts (12, 61 and 295 hosts, one in ten unreachable, store slow: at most 1.5 times).

--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -49,9 +49,9 @@
     /// supported during the current outage.
     virtual auto mayHaveForgottenSupport() const -> bool = 0;
 
-    /// Whether within the last few seconds a host was unreachable, could not reach the store, or held turns not yet written to the
-    /// store. Tokens may then have been granted that are not yet recorded in a row.
-    virtual auto wasStoreImpairedRecently() const -> bool = 0;
+    /// Addresses of the reachable hosts that report grants of tokens without the store to one of `programs`, or support for those of a
+    /// host that they do not reach. `programs`: a bit for each value of a hash. Reports are as old as heartbeats.
+    virtual auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> = 0;
 
     /// Whether the host at `address` is reachable, still has this incarnation and has written all of its turns to the store. A
     /// later incarnation has no record of turns of an earlier one.
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -81,7 +81,7 @@
 
 auto BudgetLedger::possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<std::uint64_t>
 {
-    if (!mayHaveUnrecordedGrants() && !isGrantorUnsettled(*program)) {
+    if (!m_grantSearch.isNeeded(key, *program)) {
         co_return 0;
     }
     const auto others = co_await queryPeers(key, program, maxTokens);
@@ -90,29 +90,13 @@
     for (const auto& [grantor, supporters] : others.silentGrantors) {
         const auto granted = grants.possiblyGrantedBy(supporters, others.fleet);
         tokens = std::max(tokens, granted); // Only one host can have granted more than a turn's tokens.
-        if (granted > 0 && hasLostState(grantor)) {
+        if (granted > 0 && m_grantSearch.hasLostState(grantor)) {
             program->lostGrants[grantor.second] = granted;
         }
     }
     co_return others.unrecordedTokens + tokens;
 }
 
-auto BudgetLedger::isGrantorUnsettled(const Program& program) const -> bool
-{
-    const auto isOwn = program.supportedGrantor == m_peers.ownAddress() && program.supportedIncarnation == m_peers.ownIncarnation();
-    // Only programs whose history the hosts keep are granted more than one turn's tokens.
-    return program.history == TurnHistory::KeptByHosts && !program.supportedGrantor.empty() && !isOwn &&
-           !ProgramTable::hasEntry(program, program.supportedIncarnation);
-}
-
-auto BudgetLedger::hasLostState(const HostIncarnation& host) const -> bool
-{
-    const auto sightings = m_peers.sightings();
-    return std::ranges::any_of(sightings, [&host](const peers::HostSighting& sighting) {
-        return sighting.address == host.first && sighting.incarnation > host.second;
-    });
-}
-
 auto BudgetLedger::recordUnrecordedGrants() -> Async<void>
 {
     auto programs = m_table.withUnrecordedTokens();
@@ -158,44 +142,67 @@
 
 auto BudgetLedger::possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
 {
-    if (mayHaveUnrecordedGrants() || isGrantorUnsettled(program)) {
-        return m_peers.reachableHosts();
-    }
-    auto addresses = program.isRowKnown ? std::vector<std::string>() : m_peers.replicaHosts(key.program);
-    for (const auto& address : program.advanceHolders) {
-        if (std::ranges::find(addresses, address) == addresses.end()) {
+    auto addresses = m_grantSearch.hosts(key, program);
+    const auto add = [&addresses](const std::string& address) {
+        if (!address.empty() && std::ranges::find(addresses, address) == addresses.end()) {
             addresses.push_back(address);
         }
+    };
+    if (!program.isRowKnown) {
+        std::ranges::for_each(m_peers.replicaHosts(key.program), add);
     }
+    std::ranges::for_each(program.advanceHolders, add);
     for (const auto& holding : program.row.holdings()) {
-        const auto address = m_peers.addressOf(holding.host(), holding.incarnation());
-        if (!address.empty() && std::ranges::find(addresses, address) == addresses.end()) {
-            addresses.push_back(address);
-        }
+        add(m_peers.addressOf(holding.host(), holding.incarnation()));
     }
     return addresses;
 }
 
 auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
 {
-    auto others = PeerHoldings();
-    if (program->isRowKnown && !m_table.hasOtherHolders(*program) && program->advanceHolders.empty() && !mayHaveUnrecordedGrants() &&
-        !isGrantorUnsettled(*program)) {
+    const auto isAway = isStoreAway(key);
+    auto asked = isAway ? m_peers.reachableHosts() : possibleHolders(key, *program);
+    program->advanceHolders.clear(); // They return what they have.
+    auto answers = co_await queryHosts(key, program, asked, need);
+    auto others = holdingsFrom(key, *program, answers);
+    if (isAway || others.silentGrantors.empty() || program->history == TurnHistory::SentByCaller) {
         co_return others;
     }
+    auto rest = m_peers.reachableHosts();
+    std::erase_if(rest, [&asked](const std::string& address) { return std::ranges::find(asked, address) != asked.end(); });
+    const auto further = co_await queryHosts(key, program, std::move(rest), need);
+    answers.failed += further.failed;
+    answers.responses.insert(answers.responses.end(), further.responses.begin(), further.responses.end());
+    co_return holdingsFrom(key, *program, answers);
+}
+
+auto BudgetLedger::queryHosts(const ProgramKey& key, ProgramPtr program, std::vector<std::string> addresses, std::uint64_t need)
+    -> Async<peers::CallResults>
+{
     auto request = peers::messages::Request();
     auto& query = *request.mutable_grant_query();
     query.set_account(key.account);
     query.set_program(key.program);
     query.set_tokens(need);
-    const auto addresses = possibleHolders(key, *program);
-    program->advanceHolders.clear(); // They return what they have.
-    const auto answers = co_await peers::callAll(m_peers, addresses, std::move(request), s_queryTimeout, [](const auto&) { return false; });
+    auto answers =
+        co_await peers::callAll(m_peers, std::move(addresses), std::move(request), s_queryTimeout, [](const auto&) { return false; });
+    for (const auto& response : answers.responses) {
+        program->holding.transferIn(response.granted());
+        if (m_requests == TokenRequests::InAdvance && response.reserved() > 0) {
+            program->advanceHolders.insert(response.address()); // It may hold what its turns leave.
+        }
+    }
+    co_return answers;
+}
+
+auto BudgetLedger::holdingsFrom(const ProgramKey& key, Program& program, const peers::CallResults& answers) const -> PeerHoldings
+{
+    auto others = PeerHoldings();
     auto unrecordedTokens = std::uint64_t{0};
     auto held = std::uint64_t{0};
     auto supporters = std::map<HostIncarnation, std::uint64_t>();
-    if (!program->supportedGrantor.empty()) {
-        ++supporters[{program->supportedGrantor, program->supportedIncarnation}];
+    if (!program.supportedGrantor.empty()) {
+        ++supporters[{program.supportedGrantor, program.supportedIncarnation}];
     }
     auto answered = std::set<HostIncarnation>{{m_peers.ownAddress(), m_peers.ownIncarnation()}};
     others.fleet = {.hosts = static_cast<std::uint64_t>(m_peers.membershipSize()),
@@ -206,14 +213,10 @@
         if (!response.supported_grantor().empty()) {
             ++supporters[{response.supported_grantor(), response.supported_incarnation()}];
         }
-        program->holding.transferIn(response.granted());
         others.hasRunningTurns = others.hasRunningTurns || response.reserved() > 0;
-        if (m_requests == TokenRequests::InAdvance && response.reserved() > 0) {
-            program->advanceHolders.insert(response.address()); // It may hold what its turns leave.
-        }
         // A host that has already granted tokens remains the grantor; otherwise the grantor is the host with the lowest address
         // among those that have the program.
-        const auto isBefore = response.has_lent() != (program->unrecordedTokens > 0)
+        const auto isBefore = response.has_lent() != (program.unrecordedTokens > 0)
                                   ? response.has_lent()
                                   : !hasProgram(key) || response.address() < m_peers.ownAddress();
         const auto isBest = others.grantor.empty() || response.has_lent() || response.address() < others.grantor;
@@ -230,16 +233,11 @@
     others.unrecordedTokens = std::max(unrecordedTokens, held);
     for (const auto& [grantor, count] : supporters) {
         // The row contains what its grantor has granted, as the grants of a program that is in the row are within one turn's tokens.
-        if (!ProgramTable::hasEntry(*program, grantor.second) && !answered.contains(grantor)) {
+        if (!ProgramTable::hasEntry(program, grantor.second) && !answered.contains(grantor)) {
             others.silentGrantors[grantor] = count;
         }
     }
-    co_return others;
-}
-
-auto BudgetLedger::mayHaveUnrecordedGrants() const -> bool
-{
-    return m_peers.wasStoreImpairedRecently();
+    return others;
 }
 
 auto BudgetLedger::unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -55,6 +55,7 @@
     , m_peers(peers)
     , m_clock(clock)
     , m_requests(requests)
+    , m_grantSearch(peers)
 {}
 
 auto BudgetLedger::reserve(ProgramKey key, TokenDemand demand) -> Async<Reservation>
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "framework/global/async.h"
+#include "peers/callall.h"
 #include "peers/ipeers.h"
 #include "programs/advancetokens.h"
 #include "programs/outagegrants.h"
+#include "programs/outagegrantsearch.h"
 #include "programs/programtable.h"
 #include "programs/spentprograms.h"
 #include "programs/turnabsence.h"
@@ -76,6 +78,9 @@
     /// Returns all tokens held in advance and holds none from now on.
     auto stopHolding() -> void;
 
+    /// The programs about whose grants without the store other hosts have to ask this one.
+    auto outageGrants() const -> ProgramSummary { return m_grantSearch.reported(m_table); }
+
     /// Whether this host has granted tokens that are not in their programs' rows yet.
     auto hasUnrecordedGrants() const -> bool { return m_table.hasUnrecordedTokens(); }
 
@@ -148,7 +153,6 @@
     /// Claims tokens for the next turn if too few are free.
     auto prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
     auto returnTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
-    auto mayHaveUnrecordedGrants() const -> bool;
     /// Waits until the claim of tokens that is under way ends or `isOver`; not while the store is away.
     auto awaitClaim(const ProgramKey& key, ProgramPtr program, std::uint64_t maxTokens, framework::Instant deadline,
                     framework::Instant endBy) -> framework::Async<void>;
@@ -164,16 +168,15 @@
     static auto prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t;
     /// Tokens that other hosts may have granted without recording them in the row yet.
     auto possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<std::uint64_t>;
-    /// Whether this host supports another one's grants and the row does not show what that has granted.
-    auto isGrantorUnsettled(const Program& program) const -> bool;
-    /// Whether the host has been restarted since.
-    auto hasLostState(const HostIncarnation& host) const -> bool;
     auto writeRow(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::AsyncResult<bool>;
     auto readRow(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
-    /// Hosts that may have tokens of the program. With the store at hand these are the program's home hosts and those in its row;
-    /// during and after an outage any host may have granted some.
+    /// Hosts that may have tokens of the program: its home hosts, those in its row, and those that may have granted some without it.
     auto possibleHolders(const ProgramKey& key, const Program& program) const -> std::vector<std::string>;
+    /// Asks possibleHolders(), and all hosts while the store is away or if a grantor is silent: those that support it then count.
     auto queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> framework::Async<PeerHoldings>;
+    auto queryHosts(const ProgramKey& key, ProgramPtr program, std::vector<std::string> addresses, std::uint64_t need)
+        -> framework::Async<peers::CallResults>;
+    auto holdingsFrom(const ProgramKey& key, Program& program, const peers::CallResults& answers) const -> PeerHoldings;
     /// Asks all reachable hosts to support the grants of this host. Returns the address of another host if this one supports it.
     auto collectSupport(ProgramKey key, ProgramPtr program) -> framework::Async<std::string>;
     /// Whether this host supports the grants of the host at `grantor`; it does if it supports no other host.
@@ -199,6 +202,7 @@
     AdvanceTokens m_advance;
     HomeWait m_homeWait;
     SpentPrograms m_spent;
+    OutageGrantSearch m_grantSearch;
     int m_openTransfers = 0;
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
--- a/src/programs/programsummary.cpp
+++ b/src/programs/programsummary.cpp
@@ -20,9 +20,11 @@
     m_bits |= bitOf(program);
 }
 
-auto ProgramSummary::mayContain(const ProgramKey& program) const -> bool
+auto ProgramSummary::of(const ProgramKey& program) -> ProgramSummary
 {
-    return (m_bits & bitOf(program)) != 0;
+    auto summary = ProgramSummary();
+    summary.add(program);
+    return summary;
 }
 
 } // namespace laburnummill::programs
--- a/src/programs/programsummary.h
+++ b/src/programs/programsummary.h
@@ -13,15 +13,9 @@
 class ProgramSummary
 {
 public:
-    ProgramSummary() = default;
-    explicit ProgramSummary(std::uint64_t bits)
-        : m_bits(bits)
-    {}
-
-    static auto all() -> ProgramSummary { return ProgramSummary(~std::uint64_t{0}); }
+    static auto of(const ProgramKey& program) -> ProgramSummary;
 
     auto add(const ProgramKey& program) -> void;
-    auto mayContain(const ProgramKey& program) const -> bool;
     auto bits() const -> std::uint64_t { return m_bits; }
 
 private:
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -100,6 +100,8 @@
 
     auto size() const -> std::size_t { return m_programs.size(); }
 
+    auto programs() const -> const std::map<ProgramKey, ProgramPtr>& { return m_programs; }
+
     static auto rowOf(const ProgramKey& key) -> store::RowAddress;
 
 private:
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -66,6 +66,43 @@
     store::Row m_row;
 };
 
+/// One host's way to the store, which can be cut.
+class StoreWay final : public store::IStore, public store::IStoreStatus
+{
+public:
+    explicit StoreWay(SharedStore& store)
+        : m_store(store)
+    {}
+
+    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
+    {
+        if (isCut) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return co_await m_store.transact(std::move(transaction));
+    }
+
+    auto list(store::ListRequest request) -> AsyncResult<store::RowPage> override
+    {
+        if (isCut) {
+            co_return store::StoreError::Unavailable;
+        }
+        co_return co_await m_store.list(std::move(request));
+    }
+
+    auto state(std::string_view partition) const -> store::StoreState override
+    {
+        return isCut ? store::StoreState::Away : m_store.state(partition);
+    }
+
+    auto awaitReturn(Milliseconds timeout) -> Async<void> override { co_await m_store.awaitReturn(timeout); }
+
+    bool isCut = false;
+
+private:
+    SharedStore& m_store;
+};
+
 /// The system's clock with leaps.
 class LeapingClock final : public framework::IClock
 {
@@ -99,7 +136,7 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return s_hosts; }
     auto mayHaveForgottenSupport() const -> bool override;
-    auto wasStoreImpairedRecently() const -> bool override;
+    auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> override;
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
     auto ownAddress() const -> std::string override { return std::to_string(m_number); }
@@ -120,14 +157,17 @@
         : incarnation(incarnation)
         , peers(fleet, number, incarnation)
         , table(executor, clock, std::to_string(number), incarnation)
-        , ledger(executor, table, store, store, peers, clock, requests)
+        , way(store)
+        , ledger(executor, table, way, way, peers, clock, requests)
     {}
 
     std::uint64_t incarnation;
     bool hasStoreAnswered = true; ///< since its start
     FleetPeers peers;
     ProgramTable table;
+    StoreWay way;
     BudgetLedger ledger;
+    std::uint64_t reported = 0; ///< programs, by its last heartbeat
 };
 
 /// Three data centres with some hosts each.
@@ -153,7 +193,22 @@
         retired.push_back(hosts[number]);
         const auto incarnation = hosts[number]->incarnation + 1;
         hosts[number] = std::make_shared<Host>(context.get_executor(), *this, store, clock, number, incarnation, requests);
-        hosts[number]->hasStoreAnswered = !store.isAway;
+        hosts[number]->way.isCut = retired.back()->way.isCut;
+        hosts[number]->hasStoreAnswered = !store.isAway && !hosts[number]->way.isCut;
+    }
+
+    /// Cuts one host off from the store, or ends that.
+    auto cutStore(int number, bool isCut) -> void
+    {
+        hosts[number]->way.isCut = isCut;
+        hosts[number]->hasStoreAnswered = hosts[number]->hasStoreAnswered || (!isCut && !store.isAway);
+    }
+
+    auto exchangeHeartbeats() -> void
+    {
+        for (const auto& host : hosts) {
+            host->reported = host->ledger.outageGrants().bits();
+        }
     }
 
     /// One turn that uses `used` of the tokens it was given, by default all.
@@ -196,8 +251,10 @@
         }
     }
 
+    /// Heartbeats are exchanged before what has been started runs, and tell nothing of it.
     auto run() -> void
     {
+        exchangeHeartbeats();
         context.restart();
         context.run();
     }
@@ -214,7 +271,7 @@
     {
         store.isAway = isAway;
         for (const auto& host : hosts) {
-            host->hasStoreAnswered = host->hasStoreAnswered || !isAway;
+            host->hasStoreAnswered = host->hasStoreAnswered || (!isAway && !host->way.isCut);
         }
     }
 
@@ -277,9 +334,11 @@
     return found;
 }
 
-inline auto FleetPeers::wasStoreImpairedRecently() const -> bool
+inline auto FleetPeers::outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string>
 {
-    return m_fleet.store.isAway || unreachableHosts() > 0;
+    auto addresses = reachableHosts();
+    std::erase_if(addresses, [&](const std::string& address) { return (m_fleet.hosts[std::stoi(address)]->reported & programs) == 0; });
+    return addresses;
 }
 
 inline auto FleetPeers::mayHaveForgottenSupport() const -> bool
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -45,6 +45,7 @@
     }
 
     auto row() const -> const store::Row& { return m_row; }
+    auto removeRow() -> void { m_row = {}; }
 
     auto state(std::string_view) const -> store::StoreState override
     {
@@ -65,7 +66,7 @@
     store::Row m_row;
 };
 
-/// A fleet of 295 hosts as one of them sees it. No host but this one has tokens.
+/// A fleet of 295 hosts, or `others` and one, as one of them sees it. No host but this one has tokens.
 class ManyPeers final : public peers::IPeers
 {
 public:
@@ -74,7 +75,7 @@
     auto reachableHosts() const -> std::vector<std::string> override
     {
         auto addresses = std::vector<std::string>();
-        for (auto number = 1; number <= s_others; ++number) {
+        for (auto number = unreachable + 1; number <= others; ++number) {
             addresses.push_back("peer-" + std::to_string(number));
         }
         return addresses;
@@ -84,11 +85,11 @@
     auto replicaHosts(std::string_view) const -> std::vector<std::string> override { return {"peer-1", "peer-2"}; }
     auto committer(std::string_view) const -> std::string override { return ownAddress(); }
     auto storeProxies() const -> std::vector<std::string> override { return {}; }
-    auto unreachableHosts() const -> int override { return 0; }
+    auto unreachableHosts() const -> int override { return unreachable; }
     auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
-    auto membershipSize() const -> int override { return s_others + 1; }
+    auto membershipSize() const -> int override { return others + 1; }
     auto mayHaveForgottenSupport() const -> bool override { return haveForgottenSupport; }
-    auto wasStoreImpairedRecently() const -> bool override { return isImpaired; }
+    auto outageGrantHolders(std::uint64_t) const -> std::vector<std::string> override { return reporting; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t) const -> std::string override { return "address of " + std::string(host); }
     auto ownAddress() const -> std::string override { return "own"; }
@@ -97,18 +98,24 @@
     auto call(std::string address, peers::messages::Request request, Milliseconds) -> AsyncResult<peers::messages::Response> override
     {
         called.insert(address);
+        ++calls;
         auto response = peers::messages::Response();
         response.set_address(address);
         response.set_knows_program(address == knowingHost);
         response.set_is_supported(!request.grant_query().grantor().empty() && !haveForgottenSupport);
+        response.set_supported_grantor(address == "peer-9" ? silentGrantor : std::string());
         response.set_budget_outcome(static_cast<std::uint32_t>(BudgetOutcome::Undetermined));
         co_return response;
     }
 
+    int others = s_others;
+    int unreachable = 0;
+    int calls = 0;
     std::set<std::string> called;
+    std::vector<std::string> reporting; ///< hosts that report grants without the store
+    std::string silentGrantor;          ///< supported by peer-9, and reachable by no host
     std::string knowingHost;
     bool haveForgottenSupport = false; ///< the other hosts have restarted during the outage
-    bool isImpaired = false;
 };
 
 } // namespace
@@ -164,12 +171,57 @@
     CHECK_TRUE(peers.called.contains("address of there") && peers.called.contains("address of elsewhere"));
 }
 
-TEST(BudgetLedger, allHostsAreAskedAfterAnOutage)
+TEST(BudgetLedger, hostsThatReportGrantsWithoutTheStoreAreAskedAfterAnOutage)
 {
     putRowOfOthers(4'950);
-    peers.isImpaired = true;
+    peers.reporting = {"peer-7", "peer-8"};
     reserve(demand(TurnHistory::KeptByHosts));
-    CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others), peers.called.size());
+    CHECK_EQUAL(6U, peers.called.size()); // And two by the row, and the two that stand in for the home.
+    CHECK_TRUE(peers.called.contains("peer-7") && peers.called.contains("peer-8"));
+}
+
+TEST(BudgetLedger, allHostsAreAskedAboutAGrantorThatIsSilent)
+{
+    putRowOfOthers(4'950);
+    peers.reporting = {"peer-9"};
+    peers.silentGrantor = "peer-12";
+    reserve(demand(TurnHistory::KeptByHosts));
+    CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others) + 2, peers.called.size()); // And two by their row.
+}
+
+TEST(BudgetLedger, allReachableHostsAreAskedByOneThatIsCutOffFromMostOthers)
+{
+    putRowOfOthers(4'950);
+    peers.unreachable = 150;
+    reserve(demand(TurnHistory::KeptByHosts));
+    CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others - 150) + 4, peers.called.size()); // And four as above.
+}
+
+// Guards against claims of tokens that asked all hosts while any host was unreachable, so that 295 hosts were busy with each other's
+// questions.
+TEST(BudgetLedger, theCallsOfATurnDoNotGrowWithTheHosts)
+{
+    store.isSlow = true;
+    store.answerTime = Milliseconds(40);
+    auto calls = std::vector<int>();
+    for (const auto hosts : {12, 61, 295}) {
+        peers.others = hosts - 1;
+        peers.unreachable = hosts / 10;
+        peers.calls = 0;
+        for (auto program = 0; program < 20; ++program) {
+            key.program = std::to_string(hosts) + "/" + std::to_string(program);
+            store.removeRow();
+            const auto turn = demand(TurnHistory::KeptByHosts);
+            for (auto number = 0; number < 5; ++number) {
+                const auto reservation = reserve(turn);
+                CHECK_TRUE(reservation.outcome == BudgetOutcome::Reserved);
+                ledger.settle(key, reservation.tokens, reservation.tokens);
+            }
+        }
+        calls.push_back(peers.calls);
+    }
+    CHECK_TRUE(calls.back() * 2 <= calls.front() * 3);
+    CHECK_TRUE(calls[1] * 2 <= calls.front() * 3);
 }
 
 // Guards against hosts short of processor time that took a store that answers for unavailable, asked all others and granted a part of the
@@ -200,7 +252,6 @@
 TEST(BudgetLedger, aProgramThatNobodyKnowsIsGrantedOneTurnsTokensWithoutTheStore)
 {
     store.isAway = true;
-    peers.isImpaired = true;
     const auto first = reserve(demand(TurnHistory::SentByCaller));
     CHECK_TRUE(first.outcome == BudgetOutcome::Reserved && !first.isRecorded);
     CHECK_EQUAL(300U, first.tokens);
@@ -211,7 +262,6 @@
 TEST(BudgetLedger, nothingIsGrantedWithoutTheStoreByHostsThatMayHaveForgottenGrants)
 {
     store.isAway = true;
-    peers.isImpaired = true;
     peers.haveForgottenSupport = true;
     CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome == BudgetOutcome::Undetermined);
 }
@@ -219,7 +269,6 @@
 TEST(BudgetLedger, aHostThatKnowsTheProgramGrantsInPlaceOfOneThatDoesNot)
 {
     store.isAway = true;
-    peers.isImpaired = true;
     peers.knowingHost = "peer-9";
     CHECK_TRUE(reserve(demand(TurnHistory::SentByCaller)).outcome != BudgetOutcome::Reserved);
     CHECK_EQUAL(0U, ledger.unrecordedTokens(key));
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -222,42 +222,104 @@
     CHECK_EQUAL(fleet.budget, fleet.handedOut);
 }
 
-TEST(FleetBudget, theBoundHoldsInAnyOrderOfOutagesCutsAndRestarts)
+// Guards against grants of a host that is lost together with the support of the host that claims the rest of the budget.
+TEST(LargeBudget, countsTheGrantsOfALostHostAtOneThatHasForgottenItsSupport)
+{
+    startDuringOutage();
+    fleet.restart(3);
+    fleet.restart(0);
+    fleet.setStoreAway(false);
+    fleet.spend(3);
+    checkBound();
+    CHECK_TRUE(fleet.outcome == BudgetOutcome::Exhausted);
+}
+
+TEST(LargeBudget, countsTheGrantsOfAHostThatAloneIsCutOffFromTheStore)
+{
+    fleet.cutStore(0, true);
+    fleet.isFirstTurn = true;
+    fleet.spend(0);
+    fleet.isFirstTurn = false;
+    CHECK_EQUAL(fleet.budget / 4, fleet.handedOut);
+    fleet.spend(2);
+    checkBound();
+    fleet.cutStore(0, false);
+    fleet.recordGrants();
+    fleet.spend(0);
+    fleet.spend(4);
+    checkBound();
+}
+
+namespace {
+
+/// Some steps of a history in which the store, single ways to it, data centres and hosts fail in any order while turns run.
+auto playHistory(Fleet& trial, unsigned seed, int steps) -> void
+{
+    auto random = std::minstd_rand(seed);
+    for (auto step = 0; step < steps; ++step) {
+        const auto number = static_cast<int>(random() % s_hosts);
+        switch (random() % 11) {
+        case 0:
+            trial.setStoreAway(!trial.store.isAway);
+            break;
+        case 1:
+            trial.cut();
+            break;
+        case 2:
+            trial.group = {};
+            break;
+        case 3:
+            trial.restart(number);
+            break;
+        case 4:
+            trial.recordGrants();
+            break;
+        case 5:
+            trial.cutStore(number, !trial.hosts[number]->way.isCut);
+            break;
+        case 6:
+            trial.frozen = trial.frozen.empty() ? std::set<int>{number} : std::set<int>();
+            break;
+        default:
+            for (auto turn = 0; turn < 3; ++turn) {
+                trial.start(static_cast<int>(random() % s_hosts));
+                trial.isFirstTurn = false;
+            }
+            trial.run();
+        }
+    }
+}
+
+/// Plays many histories; returns those in which more was handed out than the budget and one turn's tokens.
+auto brokenHistories(bool isLarge, unsigned seeds) -> std::string
 {
     auto broken = std::string();
     auto granted = 0;
-    constexpr auto seeds = 40U;
     for (auto seed = 1U; seed <= seeds; ++seed) {
-        auto random = std::minstd_rand(seed);
         auto trial = Fleet();
-        for (auto step = 0; step < 12; ++step) {
-            switch (random() % 8) {
-            case 0:
-                trial.setStoreAway(!trial.store.isAway);
-                break;
-            case 1:
-                trial.cut();
-                break;
-            case 2:
-                trial.group = {};
-                break;
-            case 3:
-                trial.restart(static_cast<int>(random() % s_hosts));
-                break;
-            case 4:
-                trial.recordGrants();
-                break;
-            default:
-                for (auto turn = 0; turn < 3; ++turn) {
-                    trial.start(static_cast<int>(random() % s_hosts));
-                }
-                trial.run();
-            }
+        if (isLarge) {
+            trial.beginLargeProgram();
+            trial.isFirstTurn = true;
         }
+        playHistory(trial, seed, isLarge ? 24 : 12);
         granted += trial.granted;
-        if (trial.handedOut > s_budget + s_turn) {
+        if (trial.handedOut > trial.budget + s_turn) {
             broken += "seed " + std::to_string(seed) + ": " + std::to_string(trial.handedOut) + "\n";
         }
     }
-    CHECK_TEXT(broken.empty(), (broken + std::to_string(granted) + " turns granted").c_str());
+    return broken.empty() ? broken : broken + std::to_string(granted) + " turns granted";
+}
+
+} // namespace
+
+TEST(FleetBudget, theBoundHoldsInAnyOrderOfOutagesCutsAndRestarts)
+{
+    const auto broken = brokenHistories(false, 40);
+    CHECK_TEXT(broken.empty(), broken.c_str());
+}
+
+TEST(LargeBudget, theBoundHoldsInAnyOrderOfOutagesCutsAndRestarts)
+{
+    const auto broken = brokenHistories(true, 10);
+    CHECK_TEXT(broken.empty(), broken.c_str());
 }
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -155,7 +155,7 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return 1; }
     auto mayHaveForgottenSupport() const -> bool override { return false; }
-    auto wasStoreImpairedRecently() const -> bool override { return false; }
+    auto outageGrantHolders(std::uint64_t) const -> std::vector<std::string> override { return {}; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return false; }
     auto addressOf(std::string_view, std::uint64_t) const -> std::string override { return {}; }
     auto ownAddress() const -> std::string override { return std::to_string(m_number); }
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -3,6 +3,7 @@
 #include "framework/global/digest.h"
 #include "framework/global/errorcategory.h"
 #include "framework/logging/log.h"
+#include "programs/outagegrantsearch.h"
 #include "store/callsize.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -210,8 +211,8 @@
     const auto key = ProgramKey{.account = write->turn->account, .program = write->turn->program};
     const auto program = m_table.find(key);
     // While other hosts may have grants that are not in the row, only BudgetLedger claims tokens: it queries these hosts first.
-    const auto isLow =
-        program && !m_peers.wasStoreImpairedRecently() && program->holding.free() * 2 < write->maxTokens * s_prefetchHalfTurns;
+    const auto isLow = program && !OutageGrantSearch(m_peers).isNeeded(key, *program) &&
+                       program->holding.free() * 2 < write->maxTokens * s_prefetchHalfTurns;
     if (!program || program->isRowBeingWritten || !(program->unrecordedTokens > 0 || (program->isRowKnown && isLow))) {
         return;
     }
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -35,9 +35,6 @@
 /// Corresponds to four consecutive heartbeats missed from every host of every other data centre.
 constexpr auto s_isolationTimeout = Milliseconds(800);
 
-/// Hosts that were partitioned or could not reach the store record the tokens they granted within this time after recovery.
-constexpr auto s_storeImpairedRetention = Milliseconds(10'000);
-
 /// While the store is unreachable, a turn is held by the host that ran it and this many others.
 constexpr auto s_replicaHosts = std::size_t{2};
 
@@ -112,7 +109,6 @@
             m_state.serverLimits.update(m_table, now);
             m_state.overload.update(m_table, now);
             m_state.rollouts->update(m_table);
-            recordStoreImpairment();
             m_table.removeExpired(now);
             std::erase_if(m_suspects, [this](const auto& suspect) { return !m_table.isKnown(suspect.first); });
             m_state.limiter.setReachableFraction(m_table.reachableFraction(now), now);
@@ -185,6 +181,7 @@
     addStatedLoads(heartbeat);
     addCrashes(heartbeat);
     addSpentPrograms(heartbeat);
+    addOutageGrants(heartbeat);
     // Only addresses of reachable hosts are sent; otherwise the address of a removed host would circulate forever.
     const auto addresses = reachableHosts();
     const auto addressCount = m_sequence % s_heartbeatsPerAddressList == 0 ? std::min(addresses.size(), s_addressesPerHeartbeat) : 0;
@@ -350,21 +347,6 @@
     return m_table.addressOf(host, incarnation, m_clock.now());
 }
 
-auto FleetLink::wasStoreImpairedRecently() const -> bool
-{
-    return m_storeImpairedAt != framework::Instant{} && m_clock.now() < m_storeImpairedAt + s_storeImpairedRetention;
-}
-
-auto FleetLink::recordStoreImpairment() -> void
-{
-    const auto lacksStore = [](const auto* peer) { return !peer->last.reaches_store() || peer->last.unwritten_turns() > 0; };
-    const auto isImpaired = !m_state.store->directWay().isSound() || m_state.journal->unwritten() > 0 || unreachableHosts() > 0 ||
-                            std::ranges::any_of(m_table.reachablePeers(m_clock.now()), lacksStore);
-    if (isImpaired) {
-        m_storeImpairedAt = m_clock.now();
-    }
-}
-
 auto FleetLink::hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool
 {
     return m_table.hasWrittenAllTurns(address, incarnation, m_clock.now());
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -85,7 +85,7 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return m_table.membershipSize(); }
     auto mayHaveForgottenSupport() const -> bool override;
-    auto wasStoreImpairedRecently() const -> bool override;
+    auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
@@ -122,10 +122,10 @@
     auto refreshBackends() -> void;
     auto addCrashes(peers::messages::Heartbeat& heartbeat) const -> void;
     auto addSpentPrograms(peers::messages::Heartbeat& heartbeat) const -> void;
+    auto addOutageGrants(peers::messages::Heartbeat& heartbeat) const -> void;
     auto receiveSpentPrograms(const peers::messages::Heartbeat& heartbeat) -> void;
     auto receiveCrashes(const peers::messages::Heartbeat& heartbeat) -> void;
     auto addStatedLoads(peers::messages::Heartbeat& heartbeat) const -> void;
-    auto recordStoreImpairment() -> void;
     auto fetchChanges(std::string address, Table table, bool isAuthoritative) -> framework::Async<void>;
     auto answerStoreCall(const peers::messages::Request& request) -> framework::Async<peers::messages::Response>;
     auto addTurns(const peers::messages::TurnQuery& query, peers::messages::Response& response) const -> void;
@@ -146,7 +146,6 @@
     /// Time of the last failed call, by address, of hosts from which no heartbeat has been received since.
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
     framework::Instant m_backendsRefreshedAt{};
-    framework::Instant m_storeImpairedAt{};
     bool m_isReady = false;
     bool m_isRegistered = false;
     bool m_hasEnded = false;
--- a/src/serving/fleetlinkreports.cpp
+++ b/src/serving/fleetlinkreports.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+auto FleetLink::addOutageGrants(messages::Heartbeat& heartbeat) const -> void
+{
+    heartbeat.set_reports_outage_grants(true);
+    heartbeat.set_outage_grants(m_state.budgets->outageGrants().bits());
+}
+
 auto FleetLink::receiveSpentPrograms(const messages::Heartbeat& heartbeat) -> void
 {
     auto reports = std::vector<programs::SpentProgram>();
