A search for a turn waits for a store that answers before it asks all hosts

Cause: as in the ledger, a time-out of its own (40 ms) stood for the state of the store, and a slow store was not waited for at all.

Change: while the store answers (StoreHealth), a search waits for the read for up to 600 ms; all others are asked if the store has no such turn or is away.

Evidence: otherHostsAreNotAskedForATurnWhileTheStoreAnswers fails on the code before (2 hosts asked of 2) and holds now; TurnJournal 11 of 11.

--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -67,10 +67,10 @@
 };
 
 /// One host's way to the store, which can be cut.
-class StoreWay final : public store::IStore, public store::IStoreStatus
+class SharedStoreWay final : public store::IStore, public store::IStoreStatus
 {
 public:
-    explicit StoreWay(SharedStore& store)
+    explicit SharedStoreWay(SharedStore& store)
         : m_store(store)
     {}
 
@@ -165,7 +165,7 @@
     bool hasStoreAnswered = true; ///< since its start
     FleetPeers peers;
     ProgramTable table;
-    StoreWay way;
+    SharedStoreWay way;
     BudgetLedger ledger;
     std::uint64_t reported = 0; ///< programs, by its last heartbeat
 };
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -321,6 +321,7 @@
     LimitedStore store;
     std::vector<std::shared_ptr<JournalHost>> hosts;
     std::vector<std::shared_ptr<JournalHost>> retired;
+    mutable int turnQueries = 0; ///< hosts that were asked for turns
 };
 
 inline auto JournalPeers::reachableHosts() const -> std::vector<std::string>
@@ -390,6 +391,7 @@
         const auto& kept = request.kept_turns();
         host.journal.holdReplicas(kept.origin(), kept.origin_incarnation(), {kept.records().begin(), kept.records().end()});
     }
+    m_fleet.turnQueries += request.has_turn_query() ? 1 : 0;
     for (const auto& id : request.turn_query().ids()) {
         if (const auto turn = host.journal.findLocal(id)) {
             response.add_turns(encodeTurn(*turn));
--- a/src/programs/tests/turnjournaltest.cpp
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -87,6 +87,16 @@
 }
 
 // Guards against batches of more entries than the store accepts, after an outage.
+// Guards against searches that asked all hosts of a fleet when one read of the store took over 40 ms.
+TEST(TurnJournal, otherHostsAreNotAskedForATurnWhileTheStoreAnswers)
+{
+    fleet.commit(0, "t1");
+    CHECK_TRUE(isStoredIn(Milliseconds(2'000), 1));
+    fleet.store.answerTime = Milliseconds(150);
+    CHECK_TRUE(fleet.find(1, "t1").turn != nullptr);
+    CHECK_EQUAL(0, fleet.turnQueries);
+}
+
 TEST(TurnJournal, aBatchOfManyProgramsKeepsToTheLimitsOfACall)
 {
     fleet.store.isAway = true;
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -20,14 +20,14 @@
 using framework::AsyncResult;
 using framework::Milliseconds;
 
-/// The store answers a read in about 5 ms; after this time-out other hosts are queried at the same time.
-constexpr auto s_storeTimeout = Milliseconds(40);
+/// Interval in which a search that waits for the store considers its state.
+constexpr auto s_storePollInterval = Milliseconds(40);
 constexpr auto s_queryTimeout = Milliseconds(250);
 
 /// The home host answers from memory, in the same data centre.
 constexpr auto s_homeTimeout = Milliseconds(100);
 
-/// How long a search waits further for the store after the other hosts were queried.
+/// How long a search waits for a store that answers, and further after the other hosts were queried.
 constexpr auto s_searchTimeout = Milliseconds(600);
 
 /// A key that sorts directly after `key` among those in use, in byte order.
@@ -163,8 +163,10 @@
             read->ended.notify();
         },
         asio::detached);
-    if (stateFor(partition) == store::StoreState::Prompt && !read->hasEnded) {
-        co_await read->ended.wait(s_storeTimeout);
+    // All other hosts are asked only if the store does not have the turn or does not answer: an answer that is late costs less than theirs.
+    const auto askedAt = m_clock.now();
+    while (!read->hasEnded && stateFor(partition) != store::StoreState::Away && m_clock.now() < askedAt + s_searchTimeout) {
+        co_await read->ended.wait(s_storePollInterval);
     }
     co_return read;
 }
