A call to the store or to several hosts ends by what has arrived, also on a host that is late

What callers saw: answers cut off where a part of a turn's tokens ended, with the store well (LOST): the store was taken for away.

HttpStore closed the connection when its timer was due, although the answer waited to be read; the call then counted as without an answer, and the partition as away. A timer that had expired could close a connection that was kept for the next call. callAll returned after twice the time of a call, which a late host can exceed, and counted calls that were still open neither as answered nor as failed, so that unreachable hosts seemed to have granted nothing.

--- a/src/peers/callall.cpp
+++ b/src/peers/callall.cpp
@@ -20,6 +20,7 @@
     asio::steady_timer done;
     CallResults results;
     int open = 0;
+    bool isDone = false; ///< all have ended, or one has sufficed
 };
 
 auto callOne(IPeers& peers, std::string address, messages::Request request, Milliseconds timeout,
@@ -36,6 +37,7 @@
         ++pendingCalls->results.failed;
     }
     if (isLast) {
+        pendingCalls->isDone = true;
         pendingCalls->done.cancel();
     }
 }
@@ -49,14 +51,17 @@
     if (addresses.empty()) {
         co_return CallResults{};
     }
-    const auto pendingCalls = std::make_shared<PendingCalls>(PendingCalls{.done = asio::steady_timer(executor), .results = {}, .open = 0});
+    const auto pendingCalls =
+        std::make_shared<PendingCalls>(PendingCalls{.done = asio::steady_timer(executor), .results = {}, .open = 0, .isDone = false});
     pendingCalls->open = static_cast<int>(addresses.size());
-    pendingCalls->done.expires_after(timeout * 2); // Does not expire in practice: each call ends earlier by its own timeout.
+    pendingCalls->done.expires_at(asio::steady_timer::time_point::max()); // Each call ends by its own timeout, on a busy host later.
     for (auto& address : addresses) {
         asio::co_spawn(executor, callOne(peers, std::move(address), request, timeout, pendingCalls, isEnough), asio::detached);
     }
-    auto ignored = boost::system::error_code();
-    co_await pendingCalls->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (!pendingCalls->isDone) { // Calls may end at once.
+        auto ignored = boost::system::error_code();
+        co_await pendingCalls->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     co_return pendingCalls->results;
 }
 
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "peers/peerlink.h"
 
+#include "framework/global/timelimit.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -23,9 +25,6 @@
 /// In bytes; larger than any batch of turns sent on handover.
 constexpr auto s_maxFrameSize = std::uint32_t{8 * 1024 * 1024};
 
-/// A timer that is later than this tells that the host handles its events late, and that a response may wait to be read.
-constexpr auto s_lateTimer = Milliseconds(20);
-
 } // namespace
 
 auto readFrame(asio::ip::tcp::socket& socket) -> Async<std::optional<std::string>>
@@ -84,7 +83,7 @@
     auto ignored = boost::system::error_code();
     co_await pending->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     const auto late = std::chrono::steady_clock::now() - pending->done.expiry();
-    if (!pending->response && !pending->isLost && late > s_lateTimer) {
+    if (!pending->response && !pending->isLost && late > framework::s_lateTimer) {
         pending->done.expires_after(std::min<std::chrono::steady_clock::duration>(late, timeout));
         co_await pending->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -1,11 +1,11 @@
 #include "peers/relay.h"
 
+#include "framework/global/timelimit.h"
 #include "peers/peerlink.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -28,59 +28,14 @@
     socket.close(ignored);
 }
 
-/// A timer that is later than this tells that the host handles its events late, and that what it waits for may have happened.
-constexpr auto s_lateTimer = Milliseconds(20);
-
-/// Closes a socket when a time is over, unless it ends before. On a host that handles its events late, what has happened counts first.
-class CloseTimer
+auto closing(const SocketPtr& socket) -> std::function<void()>
 {
-public:
-    CloseTimer(const asio::any_io_executor& executor, const SocketPtr& socket, Milliseconds timeout)
-        : m_state(std::make_shared<State>(State{.timer = asio::steady_timer(executor, timeout), .socket = socket}))
-    {
-        arm(m_state);
-    }
-
-    CloseTimer(const CloseTimer&) = delete;
-    CloseTimer(CloseTimer&&) = delete;
-    auto operator=(const CloseTimer&) -> CloseTimer& = delete;
-    auto operator=(CloseTimer&&) -> CloseTimer& = delete;
-    ~CloseTimer() { end(); }
-
-    auto end() -> void
-    {
-        m_state->hasEnded = true; // A timer that has expired cannot be cancelled any more, although its handler has not run.
-        m_state->timer.cancel();
-    }
-
-private:
-    struct State
-    {
-        asio::steady_timer timer;
-        std::weak_ptr<asio::ip::tcp::socket> socket;
-        bool hasEnded = false;
-        bool isExtended = false;
+    return [weak = std::weak_ptr(socket)] {
+        if (const auto found = weak.lock()) {
+            closeSocket(*found);
+        }
     };
-
-    static auto arm(const std::shared_ptr<State>& state) -> void
-    {
-        state->timer.async_wait([state](const boost::system::error_code& error) {
-            const auto socket = state->socket.lock();
-            if (error || state->hasEnded || !socket) {
-                return;
-            }
-            const auto late = std::chrono::steady_clock::now() - state->timer.expiry();
-            if (late > s_lateTimer && !std::exchange(state->isExtended, true)) {
-                state->timer.expires_after(late);
-                arm(state);
-                return;
-            }
-            closeSocket(*socket);
-        });
-    }
-
-    std::shared_ptr<State> m_state;
-};
+}
 
 auto copy(SocketPtr from, SocketPtr to) -> Async<void>
 {
@@ -112,10 +67,10 @@
             closeSocket(*found);
         }
     });
-    auto timer = CloseTimer(executor, socket, timeout);
+    auto limit = framework::TimeLimit(executor, timeout, closing(socket));
     auto error = boost::system::error_code();
     co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
-    timer.end();
+    limit.end();
     if (error || !socket->is_open()) {
         co_return nullptr;
     }
@@ -130,14 +85,14 @@
     if (!socket) {
         co_return nullptr;
     }
-    auto timer = CloseTimer(executor, socket, timeout);
+    auto limit = framework::TimeLimit(executor, timeout, closing(socket));
     auto request = messages::Request();
     *request.mutable_relay_query() = std::move(query);
     const auto frame = encodeFrame(request);
     auto error = boost::system::error_code();
     co_await asio::async_write(*socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
     const auto answer = error ? std::nullopt : co_await readFrame(*socket);
-    timer.end();
+    limit.end();
     auto response = messages::Response();
     if (!answer || !socket->is_open() || !response.ParseFromString(*answer) || !response.is_relayed()) {
         co_return nullptr;
--- a/src/store/storehealth.cpp
+++ b/src/store/storehealth.cpp
@@ -11,7 +11,7 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-/// The store answers in about 10 ms; hosts that are short of processor time see some answers later.
+/// The store answers in about 10 ms.
 constexpr auto s_lateAnswer = Milliseconds(100);
 
 /// A late answer tells nothing of the store any more after this time.
