Grantors that are unreachable, and those that only others reach, are asked about

A host that had reported grants without the store and did not answer any more was left out, as were grantors that the claiming host does not reach while their supporters do: the rest of a budget could have been claimed beside a quarter that was granted (BUDGET).

Cause: reachability was judged by the supporter, but it matters at the host that claims; a reported grantor without an answer counted as one without grants; hosts of the release before report nothing.

Change: heartbeats carry two summaries, of own grants and of supported ones that the grantor has not recorded. A claim asks the grantors that report and seven of the supporters, each of which knows the grantor; it asks all hosts if a grantor is unreachable or does not answer, and for ten seconds after a host of the release before lacked the store, held turns or was unreachable. A turn whose budget is spent does not wait for a slow store, and a home host that answers at once is not asked again at once.

Evidence: countsTheGrantsOfAHostThatOnlyItsSupportersReach, allHostsAreAskedIfOneThatReportsGrantsDoesNotAnswer, fewOfManyHostsThatReportSupportAreAsked; histories also cut single pairs of hosts.

--- a/src/peers/ipeers.h
+++ b/src/peers/ipeers.h
@@ -4,6 +4,7 @@
 #include "framework/global/time.h"
 #include "peers/fleetmessages.pb.h"
 #include "peers/hostsighting.h"
+#include "peers/outagereports.h"
 #include "peers/peererrors.h"
 
 #include <string>
@@ -49,9 +50,11 @@
     /// supported during the current outage.
     virtual auto mayHaveForgottenSupport() const -> bool = 0;
 
-    /// Addresses of the reachable hosts that report grants of tokens without the store to one of `programs`, or support for those of a
-    /// host that they do not reach. `programs`: a bit for each value of a hash. Reports are as old as heartbeats.
-    virtual auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> = 0;
+    /// What hosts report of grants of tokens without the store to `programs`, a bit for each value of a hash.
+    virtual auto outageReports(std::uint64_t programs) const -> OutageReports = 0;
+
+    /// Whether the host at `address` is reachable, still has this incarnation and reports no grants without the store to `programs`.
+    virtual auto hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool = 0;
 
     /// Whether the host at `address` is reachable, still has this incarnation and has written all of its turns to the store. A
     /// later incarnation has no record of turns of an earlier one.
--- a/src/peers/peertable.cpp
+++ b/src/peers/peertable.cpp
@@ -413,6 +413,11 @@
     return static_cast<std::uint32_t>(framework::hash64(id));
 }
 
+auto PeerTable::forEach(const std::function<void(const Peer&)>& visit) const -> void
+{
+    std::ranges::for_each(m_peers, [&visit](const auto& entry) { visit(entry.second); });
+}
+
 auto PeerTable::isAnyKnown(const Filter& filter) const -> bool
 {
     return std::ranges::any_of(m_peers, [&filter](const auto& entry) { return filter(entry.second); });
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -123,6 +123,9 @@
 
     using Filter = std::function<bool(const Peer&)>;
 
+    /// Visits the known hosts, unreachable ones included.
+    auto forEach(const std::function<void(const Peer&)>& visit) const -> void;
+
     /// Whether any known host passes `filter`. hasHeartbeatSince() considers only hosts that sent a heartbeat at or after `since`.
     auto isAnyKnown(const Filter& filter) const -> bool;
     auto hasHeartbeatSince(framework::Instant since, const Filter& filter) const -> bool;
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -165,12 +165,18 @@
     program->advanceHolders.clear(); // They return what they have.
     auto answers = co_await queryHosts(key, program, asked, need);
     auto others = holdingsFrom(key, *program, answers);
-    if (isAway || others.silentGrantors.empty() || program->history == TurnHistory::SentByCaller) {
+    auto silent = asked;
+    std::erase_if(silent, [&answers](const std::string& address) {
+        return std::ranges::any_of(answers.responses, [&address](const auto& response) { return response.address() == address; });
+    });
+    const auto mayBeLarge = program->history == TurnHistory::KeptByHosts;
+    if (isAway || !mayBeLarge || (others.silentGrantors.empty() && !m_grantSearch.areAllNeeded(key, silent))) {
         co_return others;
     }
-    auto rest = m_peers.reachableHosts();
-    std::erase_if(rest, [&asked](const std::string& address) { return std::ranges::find(asked, address) != asked.end(); });
-    const auto further = co_await queryHosts(key, program, std::move(rest), need);
+    // Whether a grantor may have granted more than one turn's tokens depends on how many hosts support it.
+    auto remaining = m_peers.reachableHosts();
+    std::erase_if(remaining, [&asked](const std::string& address) { return std::ranges::find(asked, address) != asked.end(); });
+    const auto further = co_await queryHosts(key, program, std::move(remaining), need);
     answers.failed += further.failed;
     answers.responses.insert(answers.responses.end(), further.responses.begin(), further.responses.end());
     co_return holdingsFrom(key, *program, answers);
@@ -278,6 +284,7 @@
     if (program.supportedGrantor.empty() && !m_peers.mayHaveForgottenSupport()) {
         program.supportedGrantor = grantor;
         program.supportedIncarnation = incarnation;
+        program.supportedAt = m_clock.now();
     }
     return program.supportedGrantor == grantor && program.supportedIncarnation == incarnation;
 }
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -55,7 +55,7 @@
     , m_peers(peers)
     , m_clock(clock)
     , m_requests(requests)
-    , m_grantSearch(peers)
+    , m_grantSearch(peers, clock)
 {}
 
 auto BudgetLedger::reserve(ProgramKey key, TokenDemand demand) -> Async<Reservation>
@@ -75,10 +75,13 @@
     }
     const auto home = m_peers.home(key.program);
     if (home != m_peers.ownAddress() && !m_homeWait.isSilent(home, m_clock.now())) {
+        auto askedAt = m_clock.now();
         auto atHome = co_await reserveAt(key, home, demand);
+        // A home host that has waited for a slow store goes on with the claim.
         while (atHome && atHome->outcome == BudgetOutcome::Undetermined && storeState(key) == store::StoreState::Slow &&
-               m_clock.now() + s_settleTimeout < demand.endBy) {
-            atHome = co_await reserveAt(key, home, demand); // The home host goes on with the claim.
+               m_clock.now() >= askedAt + s_settleTimeout && m_clock.now() + s_settleTimeout < demand.endBy) {
+            askedAt = m_clock.now();
+            atHome = co_await reserveAt(key, home, demand);
         }
         if (atHome) {
             co_return *atHome;
@@ -201,7 +204,9 @@
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Exhausted : BudgetOutcome::Undetermined;
         }
         const auto mayChange = hasRunningTurns || (reservation.outcome == BudgetOutcome::Undetermined && !isAway);
-        if (reservation.outcome == BudgetOutcome::Reserved || !mayChange || isOver(key, deadline, demand.endBy)) {
+        // A budget that is spent is known to be so, however slow the store is.
+        const auto endBy = reservation.outcome == BudgetOutcome::Undetermined ? demand.endBy : deadline;
+        if (reservation.outcome == BudgetOutcome::Reserved || !mayChange || isOver(key, deadline, endBy)) {
             break;
         }
         co_await program->changed.wait(s_settlePollInterval);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -79,7 +79,7 @@
     auto stopHolding() -> void;
 
     /// The programs about whose grants without the store other hosts have to ask this one.
-    auto outageGrants() const -> ProgramSummary { return m_grantSearch.reported(m_table); }
+    auto outageGrants() const -> OutageGrantSummaries { return m_grantSearch.summaries(m_table); }
 
     /// Whether this host has granted tokens that are not in their programs' rows yet.
     auto hasUnrecordedGrants() const -> bool { return m_table.hasUnrecordedTokens(); }
--- a/src/programs/outagegrantsearch.cpp
+++ b/src/programs/outagegrantsearch.cpp
@@ -4,27 +4,54 @@
 
 namespace laburnummill::programs {
 
-OutageGrantSearch::OutageGrantSearch(const peers::IPeers& peers)
+namespace {
+
+using framework::Milliseconds;
+
+/// More than half of all hosts support a grantor of more than one turn's tokens, so that one of this many that report support knows it.
+constexpr auto s_witnesses = std::size_t{7};
+
+/// A grantor reports its grants within this time after it has collected support for them.
+constexpr auto s_reportTime = Milliseconds(2'000);
+
+} // namespace
+
+OutageGrantSearch::OutageGrantSearch(const peers::IPeers& peers, const framework::IClock& clock)
     : m_peers(peers)
+    , m_clock(clock)
 {}
 
 auto OutageGrantSearch::isNeeded(const ProgramKey& key, const Program& program) const -> bool
 {
-    return isGrantorUnsettled(program) || isInMinority() || !m_peers.outageGrantHolders(ProgramSummary::of(key).bits()).empty();
+    return isGrantorUnsettled(program) || isInMinority() || !m_peers.outageReports(ProgramSummary::of(key).bits()).isEmpty();
 }
 
 auto OutageGrantSearch::hosts(const ProgramKey& key, const Program& program) const -> std::vector<std::string>
 {
-    if (isInMinority()) {
+    auto reports = m_peers.outageReports(ProgramSummary::of(key).bits());
+    if (isInMinority() || reports.isAnyGrantorUnreachable) {
         return m_peers.reachableHosts();
     }
-    auto addresses = m_peers.outageGrantHolders(ProgramSummary::of(key).bits());
+    auto addresses = std::move(reports.grantors);
+    reports.witnesses.resize(std::min(reports.witnesses.size(), s_witnesses));
+    addresses.insert(addresses.end(), reports.witnesses.begin(), reports.witnesses.end());
     if (isGrantorUnsettled(program) && std::ranges::find(addresses, program.supportedGrantor) == addresses.end()) {
         addresses.push_back(program.supportedGrantor);
     }
     return addresses;
 }
 
+auto OutageGrantSearch::areAllNeeded(const ProgramKey& key, const std::vector<std::string>& silent) const -> bool
+{
+    if (silent.empty()) {
+        return false;
+    }
+    const auto reports = m_peers.outageReports(ProgramSummary::of(key).bits());
+    return reports.isAnyGrantorUnreachable || std::ranges::any_of(reports.grantors, [&silent](const std::string& grantor) {
+               return std::ranges::find(silent, grantor) != silent.end();
+           });
+}
+
 auto OutageGrantSearch::isGrantorUnsettled(const Program& program) const -> bool
 {
     const auto isOwn = program.supportedGrantor == m_peers.ownAddress() && program.supportedIncarnation == m_peers.ownIncarnation();
@@ -46,29 +73,24 @@
     return 2 * m_peers.unreachableHosts() > m_peers.membershipSize();
 }
 
-auto OutageGrantSearch::reported(const ProgramTable& table) const -> ProgramSummary
+auto OutageGrantSearch::summaries(const ProgramTable& table) const -> OutageGrantSummaries
 {
-    auto summary = ProgramSummary();
-    auto supported = std::vector<std::pair<ProgramKey, ProgramPtr>>();
+    auto summaries = OutageGrantSummaries();
     for (const auto& [key, program] : table.programs()) {
         if (program->unrecordedTokens > 0) {
-            summary.add(key);
-        } else if (isGrantorUnsettled(*program)) {
-            supported.emplace_back(key, program);
+            summaries.own.add(key);
         }
-    }
-    if (supported.empty()) {
-        return summary;
-    }
-    const auto reachable = m_peers.reachableHosts();
-    for (const auto& [key, program] : supported) {
-        // A grantor that is reachable reports its grants by itself.
-        const auto& grantor = program->supportedGrantor;
-        if (std::ranges::find(reachable, grantor) == reachable.end() || hasLostState({grantor, program->supportedIncarnation})) {
-            summary.add(key);
+        if (!isGrantorUnsettled(*program)) {
+            continue;
+        }
+        const auto isSettled =
+            m_clock.now() > program->supportedAt + s_reportTime &&
+            m_peers.hasRecordedGrants(program->supportedGrantor, program->supportedIncarnation, ProgramSummary::of(key).bits());
+        if (!isSettled) {
+            summaries.supported.add(key);
         }
     }
-    return summary;
+    return summaries;
 }
 
 } // namespace laburnummill::programs
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -31,6 +31,7 @@
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
     std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
     std::uint64_t supportedIncarnation = 0;
+    framework::Instant supportedAt{};     ///< when this host began to support it
     std::uint64_t supporters = 0;         ///< hosts that support the grants of this host, itself included
     std::uint64_t fleetSize = 0;          ///< the largest number of hosts that a supporter has stated
     std::uint64_t awaitedTokens = 0;      ///< tokens that waiting turns need
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -136,7 +136,8 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return s_hosts; }
     auto mayHaveForgottenSupport() const -> bool override;
-    auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> override;
+    auto outageReports(std::uint64_t programs) const -> peers::OutageReports override;
+    auto hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool override;
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
     auto ownAddress() const -> std::string override { return std::to_string(m_number); }
@@ -167,7 +168,13 @@
     ProgramTable table;
     SharedStoreWay way;
     BudgetLedger ledger;
-    std::uint64_t reported = 0; ///< programs, by its last heartbeat
+    /// What the last heartbeat of another host told.
+    struct Report
+    {
+        std::uint64_t incarnation = 0;
+        OutageGrantSummaries grants;
+    };
+    std::map<int, Report> heard; ///< by host
 };
 
 /// Three data centres with some hosts each.
@@ -183,7 +190,10 @@
         }
     }
 
-    auto mayCall(int from, int to) const -> bool { return group[from] == group[to]; }
+    auto mayCall(int from, int to) const -> bool
+    {
+        return group[from] == group[to] && !cutPairs.contains({std::min(from, to), std::max(from, to)});
+    }
 
     /// Cuts the data centres off from each other.
     auto cut() -> void { group = {0, 0, 1, 1, 2, 2}; }
@@ -206,8 +216,13 @@
 
     auto exchangeHeartbeats() -> void
     {
-        for (const auto& host : hosts) {
-            host->reported = host->ledger.outageGrants().bits();
+        for (auto from = 0; from < s_hosts; ++from) {
+            const auto grants = hosts[from]->ledger.outageGrants();
+            for (auto to = 0; to < s_hosts; ++to) {
+                if (from != to && mayCall(from, to) && !frozen.contains(from)) {
+                    hosts[to]->heard[from] = {.incarnation = hosts[from]->incarnation, .grants = grants};
+                }
+            }
         }
     }
 
@@ -289,7 +304,8 @@
     std::uint64_t handedOut = 0;
     int granted = 0;
     TokenRequests requests;
-    std::set<int> frozen; ///< hosts that do not answer calls
+    std::set<int> frozen;                   ///< hosts that do not answer calls
+    std::set<std::pair<int, int>> cutPairs; ///< hosts that do not reach each other, the lower number first
     Milliseconds answerDelay{0};
     mutable int lostAnswers = 0; ///< number of answers from now on that are lost
     mutable int calls = 0;
@@ -334,11 +350,30 @@
     return found;
 }
 
-inline auto FleetPeers::outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string>
+inline auto FleetPeers::outageReports(std::uint64_t programs) const -> peers::OutageReports
 {
-    auto addresses = reachableHosts();
-    std::erase_if(addresses, [&](const std::string& address) { return (m_fleet.hosts[std::stoi(address)]->reported & programs) == 0; });
-    return addresses;
+    auto reports = peers::OutageReports();
+    for (const auto& [number, report] : m_fleet.hosts[m_number]->heard) {
+        const auto isReachable = m_fleet.mayCall(m_number, number);
+        if ((report.grants.own.bits() & programs) != 0) {
+            reports.isAnyGrantorUnreachable = reports.isAnyGrantorUnreachable || !isReachable;
+            if (isReachable) {
+                reports.grantors.push_back(std::to_string(number));
+            }
+        } else if (isReachable && (report.grants.supported.bits() & programs) != 0) {
+            reports.witnesses.push_back(std::to_string(number));
+        }
+    }
+    return reports;
+}
+
+inline auto FleetPeers::hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool
+{
+    const auto number = std::stoi(std::string(address));
+    const auto& heard = m_fleet.hosts[m_number]->heard;
+    const auto report = heard.find(number);
+    return report != heard.end() && m_fleet.mayCall(m_number, number) && report->second.incarnation == incarnation &&
+           (report->second.grants.own.bits() & programs) == 0;
 }
 
 inline auto FleetPeers::mayHaveForgottenSupport() const -> bool
--- a/src/programs/tests/budgetledgertest.cpp
+++ b/src/programs/tests/budgetledgertest.cpp
@@ -89,7 +89,8 @@
     auto sightings() const -> std::vector<peers::HostSighting> override { return {}; }
     auto membershipSize() const -> int override { return others + 1; }
     auto mayHaveForgottenSupport() const -> bool override { return haveForgottenSupport; }
-    auto outageGrantHolders(std::uint64_t) const -> std::vector<std::string> override { return reporting; }
+    auto outageReports(std::uint64_t) const -> peers::OutageReports override { return reports; }
+    auto hasRecordedGrants(std::string_view, std::uint64_t, std::uint64_t) const -> bool override { return true; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return true; }
     auto addressOf(std::string_view host, std::uint64_t) const -> std::string override { return "address of " + std::string(host); }
     auto ownAddress() const -> std::string override { return "own"; }
@@ -99,6 +100,9 @@
     {
         called.insert(address);
         ++calls;
+        if (address == silentHost) {
+            co_return peers::PeerError::TimedOut;
+        }
         auto response = peers::messages::Response();
         response.set_address(address);
         response.set_knows_program(address == knowingHost);
@@ -112,8 +116,9 @@
     int unreachable = 0;
     int calls = 0;
     std::set<std::string> called;
-    std::vector<std::string> reporting; ///< hosts that report grants without the store
-    std::string silentGrantor;          ///< supported by peer-9, and reachable by no host
+    peers::OutageReports reports; ///< of grants without the store
+    std::string silentGrantor;    ///< supported by peer-9, and reachable by no host
+    std::string silentHost;       ///< does not answer
     std::string knowingHost;
     bool haveForgottenSupport = false; ///< the other hosts have restarted during the outage
 };
@@ -174,7 +179,8 @@
 TEST(BudgetLedger, hostsThatReportGrantsWithoutTheStoreAreAskedAfterAnOutage)
 {
     putRowOfOthers(4'950);
-    peers.reporting = {"peer-7", "peer-8"};
+    peers.reports.grantors = {"peer-7"};
+    peers.reports.witnesses = {"peer-8"};
     reserve(demand(TurnHistory::KeptByHosts));
     CHECK_EQUAL(6U, peers.called.size()); // And two by the row, and the two that stand in for the home.
     CHECK_TRUE(peers.called.contains("peer-7") && peers.called.contains("peer-8"));
@@ -183,12 +189,29 @@
 TEST(BudgetLedger, allHostsAreAskedAboutAGrantorThatIsSilent)
 {
     putRowOfOthers(4'950);
-    peers.reporting = {"peer-9"};
+    peers.reports.witnesses = {"peer-9"};
     peers.silentGrantor = "peer-12";
     reserve(demand(TurnHistory::KeptByHosts));
     CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others) + 2, peers.called.size()); // And two by their row.
 }
 
+TEST(BudgetLedger, allHostsAreAskedIfOneThatReportsGrantsDoesNotAnswer)
+{
+    putRowOfOthers(4'950);
+    peers.reports.grantors = {"peer-7"};
+    peers.silentHost = "peer-7";
+    reserve(demand(TurnHistory::KeptByHosts));
+    CHECK_EQUAL(static_cast<std::size_t>(ManyPeers::s_others) + 2, peers.called.size());
+}
+
+TEST(BudgetLedger, fewOfManyHostsThatReportSupportAreAsked)
+{
+    putRowOfOthers(4'950);
+    peers.reports.witnesses = peers.reachableHosts();
+    reserve(demand(TurnHistory::KeptByHosts));
+    CHECK_TRUE(peers.called.size() <= 11);
+}
+
 TEST(BudgetLedger, allReachableHostsAreAskedByOneThatIsCutOffFromMostOthers)
 {
     putRowOfOthers(4'950);
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -250,6 +250,23 @@
     checkBound();
 }
 
+// Guards against claims by hosts that do not reach a grantor which others do reach.
+TEST(LargeBudget, countsTheGrantsOfAHostThatOnlyItsSupportersReach)
+{
+    fleet.cutPairs = {{0, 4}, {0, 5}};
+    fleet.cutStore(0, true);
+    fleet.isFirstTurn = true;
+    fleet.spend(0);
+    fleet.isFirstTurn = false;
+    CHECK_TRUE(fleet.handedOut > s_turn);
+    fleet.spend(4);
+    CHECK_TRUE(fleet.handedOut <= fleet.budget);
+    fleet.cutStore(0, false);
+    fleet.recordGrants();
+    fleet.spend(4);
+    checkBound();
+}
+
 namespace {
 
 /// Some steps of a history in which the store, single ways to it, data centres and hosts fail in any order while turns run.
@@ -258,7 +275,7 @@
     auto random = std::minstd_rand(seed);
     for (auto step = 0; step < steps; ++step) {
         const auto number = static_cast<int>(random() % s_hosts);
-        switch (random() % 11) {
+        switch (random() % 12) {
         case 0:
             trial.setStoreAway(!trial.store.isAway);
             break;
@@ -277,6 +294,10 @@
         case 5:
             trial.cutStore(number, !trial.hosts[number]->way.isCut);
             break;
+        case 11:
+            trial.cutPairs = trial.cutPairs.empty() && number + 2 < s_hosts ? std::set<std::pair<int, int>>{{number, number + 2}}
+                                                                            : std::set<std::pair<int, int>>();
+            break;
         case 6:
             trial.frozen = trial.frozen.empty() ? std::set<int>{number} : std::set<int>();
             break;
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -155,7 +155,8 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return 1; }
     auto mayHaveForgottenSupport() const -> bool override { return false; }
-    auto outageGrantHolders(std::uint64_t) const -> std::vector<std::string> override { return {}; }
+    auto outageReports(std::uint64_t) const -> peers::OutageReports override { return {}; }
+    auto hasRecordedGrants(std::string_view, std::uint64_t, std::uint64_t) const -> bool override { return true; }
     auto hasWrittenAllTurns(std::string_view, std::uint64_t) const -> bool override { return false; }
     auto addressOf(std::string_view, std::uint64_t) const -> std::string override { return {}; }
     auto ownAddress() const -> std::string override { return std::to_string(m_number); }
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -211,7 +211,7 @@
     const auto key = ProgramKey{.account = write->turn->account, .program = write->turn->program};
     const auto program = m_table.find(key);
     // While other hosts may have grants that are not in the row, only BudgetLedger claims tokens: it queries these hosts first.
-    const auto isLow = program && !OutageGrantSearch(m_peers).isNeeded(key, *program) &&
+    const auto isLow = program && !OutageGrantSearch(m_peers, m_clock).isNeeded(key, *program) &&
                        program->holding.free() * 2 < write->maxTokens * s_prefetchHalfTurns;
     if (!program || program->isRowBeingWritten || !(program->unrecordedTokens > 0 || (program->isRowKnown && isLow))) {
         return;
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -163,7 +163,7 @@
             read->ended.notify();
         },
         asio::detached);
-    // All other hosts are asked only if the store does not have the turn or does not answer: an answer that is late costs less than theirs.
+    // All other hosts are asked only if the store does not have the turn or does not answer: a late answer costs less than asking all.
     const auto askedAt = m_clock.now();
     while (!read->hasEnded && stateFor(partition) != store::StoreState::Away && m_clock.now() < askedAt + s_searchTimeout) {
         co_await read->ended.wait(s_storePollInterval);
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -109,6 +109,7 @@
             m_state.serverLimits.update(m_table, now);
             m_state.overload.update(m_table, now);
             m_state.rollouts->update(m_table);
+            recordFormerReleaseOutage();
             m_table.removeExpired(now);
             std::erase_if(m_suspects, [this](const auto& suspect) { return !m_table.isKnown(suspect.first); });
             m_state.limiter.setReachableFraction(m_table.reachableFraction(now), now);
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -85,7 +85,8 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return m_table.membershipSize(); }
     auto mayHaveForgottenSupport() const -> bool override;
-    auto outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string> override;
+    auto outageReports(std::uint64_t programs) const -> peers::OutageReports override;
+    auto hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool override;
     auto hasWrittenAllTurns(std::string_view address, std::uint64_t incarnation) const -> bool override;
     auto addressOf(std::string_view host, std::uint64_t incarnation) const -> std::string override;
     auto ownAddress() const -> std::string override { return m_settings.peerAddress; }
@@ -122,6 +123,8 @@
     auto refreshBackends() -> void;
     auto addCrashes(peers::messages::Heartbeat& heartbeat) const -> void;
     auto addSpentPrograms(peers::messages::Heartbeat& heartbeat) const -> void;
+    /// Hosts of the release before do not report grants: while one of them may have made some, it counts as an unreachable grantor.
+    auto recordFormerReleaseOutage() -> void;
     auto addOutageGrants(peers::messages::Heartbeat& heartbeat) const -> void;
     auto receiveSpentPrograms(const peers::messages::Heartbeat& heartbeat) -> void;
     auto receiveCrashes(const peers::messages::Heartbeat& heartbeat) -> void;
@@ -146,6 +149,7 @@
     /// Time of the last failed call, by address, of hosts from which no heartbeat has been received since.
     std::map<std::string, framework::Instant, std::less<>> m_suspects;
     framework::Instant m_backendsRefreshedAt{};
+    framework::Instant m_formerReleaseOutageAt{};
     bool m_isReady = false;
     bool m_isRegistered = false;
     bool m_hasEnded = false;
--- a/src/serving/fleetlinkreports.cpp
+++ b/src/serving/fleetlinkreports.cpp
@@ -21,6 +21,9 @@
 /// Reports of failed servers in one heartbeat, some 20 bytes each.
 constexpr auto s_maxCrashReports = std::size_t{32};
 
+/// Hosts that could not reach the store record the tokens they granted within this time after its return.
+constexpr auto s_formerReleaseOutageRetention = Milliseconds(10'000);
+
 /// Smaller failure shares are not reported. One failure adds 0.1 to a host's share and counts for about 5 s.
 constexpr auto s_minReportedFailureShare = 0.02;
 
@@ -89,8 +92,52 @@
 
 auto FleetLink::addOutageGrants(messages::Heartbeat& heartbeat) const -> void
 {
+    const auto grants = m_state.budgets->outageGrants();
     heartbeat.set_reports_outage_grants(true);
-    heartbeat.set_outage_grants(m_state.budgets->outageGrants().bits());
+    heartbeat.set_outage_grants(grants.own.bits());
+    heartbeat.set_supported_grants(grants.supported.bits());
+}
+
+auto FleetLink::outageReports(std::uint64_t programs) const -> peers::OutageReports
+{
+    const auto now = m_clock.now();
+    auto reports = peers::OutageReports{.grantors = {},
+                                        .witnesses = {},
+                                        .isAnyGrantorUnreachable = m_formerReleaseOutageAt != framework::Instant{} &&
+                                                                   now < m_formerReleaseOutageAt + s_formerReleaseOutageRetention};
+    m_table.forEach([&](const peers::Peer& peer) {
+        const auto isGrantor = (peer.last.outage_grants() & programs) != 0;
+        if (!isGrantor && (peer.last.supported_grants() & programs) == 0) {
+            return;
+        }
+        const auto isReachable = m_table.reachablePeer(peer.address, now) != nullptr && !m_suspects.contains(peer.address);
+        if (isReachable) {
+            (isGrantor ? reports.grantors : reports.witnesses).push_back(peer.address);
+        } else if (isGrantor) {
+            reports.isAnyGrantorUnreachable = true;
+        }
+    });
+    return reports;
+}
+
+auto FleetLink::hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool
+{
+    const auto* peer = m_table.reachablePeer(address, m_clock.now());
+    return peer != nullptr && !m_suspects.contains(address) && peer->last.incarnation() == incarnation &&
+           peer->last.reports_outage_grants() && (peer->last.outage_grants() & programs) == 0;
+}
+
+auto FleetLink::recordFormerReleaseOutage() -> void
+{
+    const auto now = m_clock.now();
+    const auto mayHaveGranted = [this, now](const peers::Peer& peer) {
+        const auto isFormer = peer.last.incarnation() != 0 && !peer.last.reports_outage_grants() && !peer.last.is_leaving();
+        return isFormer && (!peer.last.reaches_store() || peer.last.unwritten_turns() > 0 ||
+                            m_table.reachablePeer(peer.address, now) == nullptr || m_suspects.contains(peer.address));
+    };
+    if (m_table.isAnyKnown(mayHaveGranted)) {
+        m_formerReleaseOutageAt = now;
+    }
 }
 
 auto FleetLink::receiveSpentPrograms(const messages::Heartbeat& heartbeat) -> void
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -42,20 +42,6 @@
     return near;
 }
 
-auto FleetLink::outageGrantHolders(std::uint64_t programs) const -> std::vector<std::string>
-{
-    auto holders = std::vector<std::string>();
-    for (const auto* peer : reachablePeers()) {
-        const auto& last = peer->last;
-        const auto mayHaveGranted =
-            last.reports_outage_grants() ? (last.outage_grants() & programs) != 0 : !last.reaches_store() || last.unwritten_turns() > 0;
-        if (mayHaveGranted) {
-            holders.push_back(peer->address);
-        }
-    }
-    return holders;
-}
-
 auto FleetLink::storeProxies() const -> std::vector<std::string>
 {
     return hostsToCall([](const peers::Peer& peer) { return peer.last.reaches_store(); });
