The reservation of tokens while the store is away is a function of its own

Change: its branch for a store that is away moves to reserveWithoutStore, beside the grants; no other logic.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -314,6 +314,21 @@
     co_return std::string();
 }
 
+auto BudgetLedger::reserveWithoutStore(const ProgramKey& key, ProgramPtr program, const TokenDemand& demand, const PeerHoldings& others,
+                                       bool isGrantor) -> Async<Reservation>
+{
+    auto grantor = others.grantor;
+    if ((grantor.empty() || isGrantor) && mayGrantWithoutStore(key, *program, demand, others)) {
+        grantor = co_await collectSupport(key, program);
+    }
+    if (grantor.empty() || isGrantor) {
+        co_return grantWithoutStore(key, *program, demand, others);
+    }
+    // One host grants tokens for all hosts that reach it.
+    const auto fromGrantor = co_await reserveAt(key, grantor, demand);
+    co_return fromGrantor.value_or(Reservation());
+}
+
 auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
     -> Reservation
 {
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -187,19 +187,8 @@
         if (program->holding.free() >= maxTokens || hasRecalled) {
             continue;
         }
-        if (isAway && !others.grantor.empty() && !isGrantor) {
-            // One host grants tokens for all hosts that reach it.
-            const auto fromGrantor = co_await reserveAt(key, others.grantor, demand);
-            reservation = fromGrantor.value_or(Reservation());
-        } else if (isAway) {
-            const auto mayGrant = mayGrantWithoutStore(key, *program, demand, others);
-            const auto supported = mayGrant ? co_await collectSupport(key, program) : std::string();
-            if (!supported.empty() && !isGrantor) {
-                const auto fromGrantor = co_await reserveAt(key, supported, demand);
-                reservation = fromGrantor.value_or(Reservation());
-            } else {
-                reservation = grantWithoutStore(key, *program, demand, others);
-            }
+        if (isAway) {
+            reservation = co_await reserveWithoutStore(key, program, demand, others, isGrantor);
         } else {
             reservation.outcome = last == Refill::Exhausted ? BudgetOutcome::Exhausted : BudgetOutcome::Undetermined;
         }
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -139,6 +139,9 @@
     };
 
     auto reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> framework::Async<Reservation>;
+    /// Reserves tokens while the store is away: at the grantor of the program if there is one, else as a grant of this host.
+    auto reserveWithoutStore(const ProgramKey& key, ProgramPtr program, const TokenDemand& demand, const PeerHoldings& others,
+                             bool isGrantor) -> framework::Async<Reservation>;
     auto recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void;
     auto reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
     /// Reserves tokens at another host. With requests in advance, the wait is limited to what is usual; tokens that arrive later are
