--- a/review/standins-2/relaykill.cpp
+++ b/review/standins-2/relaykill.cpp
@@ -149,7 +149,7 @@
     hosts.startAll();
     if (!hosts.areAllReady()) {
         record.add("the hosts do not start");
-        return 2;
+        finish(hosts, 2);
     }
     rest(3'500); // contact_ms
     auto wrong = 0;
@@ -197,7 +197,7 @@
         }
         if (carrier < 0) {
             record.add("no server was reached");
-            return 2;
+            finish(hosts, 2);
         }
         whole += answer.status() == 200 && answer.isWhole && eventsIn(answer.body) == s_events ? 1 : 0;
         if (answer.status() == 200 && answer.isWhole && eventsIn(answer.body) < s_events) {
@@ -215,7 +215,7 @@
             hosts.start(carrier, false);
             if (!hosts.awaitReady(carrier)) {
                 record.add("a host does not start again");
-                return 2;
+                finish(hosts, 2);
             }
             rest(3'500); // contact_ms
         }
@@ -223,7 +223,7 @@
     record.add(std::to_string(wrong) + " of " + std::to_string(s_rounds) + " streams ended as complete before their last event, " +
                std::to_string(whole) + " ended whole; " + std::to_string(relayed) + " kills of a relaying host");
     if (isTrouble && relayed == 0) {
-        return 2;
+        finish(hosts, 2);
     }
-    return wrong > 0 ? 1 : 0;
+    finish(hosts, wrong > 0 ? 1 : 0);
 }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -659,6 +660,7 @@
         const auto log = m_folder + "/" + name + ".log";
         const auto process = ::fork();
         if (process == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No process outlives the script.
             const auto output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, 1);
             ::dup2(output, 2);
@@ -794,4 +796,12 @@
     return readMessage(connection, true, static_cast<int>(request.deadlineMs) + 2'000);
 }
 
+/// Ends the hosts' processes and this one, without destructors: threads of connections still refer to the stand-ins.
+[[noreturn]] inline auto finish(Hosts& hosts, int code) -> void
+{
+    hosts.killAll();
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
+
 } // namespace rig
