--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -696,6 +696,22 @@
         process = -1;
     }
 
+    /// Sends SIGTERM, and SIGKILL where the process has not ended after the grace period; returns its exit code, -1 if it was killed.
+    auto stop(int host, long graceMs) -> int
+    {
+        auto& process = m_processes[static_cast<std::size_t>(host)];
+        ::kill(process, SIGTERM);
+        for (const auto until = nowMs() + graceMs; nowMs() < until; rest(10)) {
+            auto status = 0;
+            if (::waitpid(process, &status, WNOHANG) == process) {
+                process = -1;
+                return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            }
+        }
+        kill(host);
+        return -1;
+    }
+
     auto killAll() -> void
     {
         for (const auto process : m_processes) {
