--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,8 +6,8 @@
 root=$PWD
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-[ -x review/standins-2/bin/relaykill ] && [ -x target/platform/laburnummill-entry ] || exit 2
-timeout -k 2 115 review/standins-2/bin/relaykill "$root" "$folder" "$here/record.txt"
+[ -x review/standins-2/bin/budget ] && [ -x target/platform/laburnummill-entry ] || exit 2
+HOW=${HOW:-kill} timeout -k 2 115 review/standins-2/bin/budget "$root" "$folder" "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
