Hosts give back tokens that they claimed and did not use

Cause: a host's entry in a program's row was a bound that never fell. It contained what the host had claimed ahead of use, half of the budget at first and up to two and a half turns at each commit, and nothing settled it afterwards. Each ended process left its claim behind; three homes, or three restarts, took the whole budget.

Change: - An entry may fall. The host that owns it takes free tokens out of use first and then writes the lower entry, under the same condition on the row's version as a claim, so that the row never contains less than what may be handed out. A write of unknown outcome keeps the tokens out of use until the version of the row tells that it can no longer be applied. - Tokens of another host's entry, which came with a transfer, are given back as "returned" in the own entry. Earlier builds read them as granted. - ClaimPolicy: half of the budget, and two turns, stay unclaimed but for running turns. Below that, what a turn leaves is given back at its end, with the turn's own transaction where there is one. Above it, after 2.5 s without a turn. - A host that stops gives everything back before it departs. - 402 rests on a row read after the turn asked, as other hosts may have given tokens back. - Each release is a log line (tokens_released: tokens, outcome, unclaimed).

Why this holds: what a killed host takes with it is its running turns and what it had claimed ahead, and claims ahead end where half of the budget is left. Planned stops take nothing.

--- a/src/programs/budgetadvance.cpp
+++ b/src/programs/budgetadvance.cpp
@@ -1,8 +1,12 @@
 #include "programs/budgetledger.h"
 
 #include "framework/global/tasks.h"
+#include "framework/logging/log.h"
 
-// Tokens that hosts hold in advance for the next turns of programs, and waits for home hosts that may not answer.
+#include <algorithm>
+#include <tuple>
+
+// Tokens that hosts claim or hold ahead of their use, those that they give back, and waits for home hosts that may not answer.
 
 namespace laburnummill::programs {
 
@@ -16,6 +20,8 @@
 /// only slow.
 constexpr auto s_transferTimeout = Milliseconds(1'300);
 
+constexpr auto s_maxOpenReleases = std::size_t{16};
+
 } // namespace
 
 auto BudgetLedger::reserveAt(ProgramKey key, std::string address, TokenDemand demand) -> Async<std::optional<Reservation>>
@@ -139,7 +145,9 @@
 
 auto BudgetLedger::prefetch(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void
 {
-    if (program->holding.free() < maxTokens && storeState(key) == store::StoreState::Prompt) {
+    const auto free = program->holding.free();
+    const auto lacking = maxTokens - std::min(free, maxTokens);
+    if (lacking > 0 && storeState(key) == store::StoreState::Prompt && ClaimPolicy::claimableAhead(claimState(*program), 0) >= lacking) {
         startRefill(key, program, maxTokens);
     }
 }
@@ -182,10 +190,88 @@
     }
 }
 
+auto BudgetLedger::prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t
+{
+    // Programs use about a fifth of their budgets. Claiming half of the budget at first is enough to get through a store
+    // outage; the other half remains if the host that holds the first half fails.
+    const auto isFirstGrant = program.holding.totalGranted() == 0;
+    return isFirstGrant ? std::max(maxTokens, unclaimedTokens / 2 - std::min(unclaimedTokens / 2, maxTokens)) : maxTokens;
+}
+
+auto BudgetLedger::claimState(const Program& program) const -> ClaimState
+{
+    return {.budget = program.budget, .unclaimedTokens = m_table.unclaimedTokens(program), .turnTokens = program.turnTokens};
+}
+
+auto BudgetLedger::releasable(const ProgramKey& key, const Program& program, Milliseconds idle) const -> std::uint64_t
+{
+    const auto free = program.holding.free();
+    const auto isUnsettled = program.isRowBeingWritten || program.unrecordedTokens > 0 || program.hasUnrecordedFromHome;
+    if (free == 0 || isUnsettled || program.awaitedTokens > 0 || storeState(key) != store::StoreState::Prompt) {
+        return 0;
+    }
+    if (m_isStopping) {
+        return free;
+    }
+    const auto tokens = program.isRowKnown ? ClaimPolicy::tokensToRelease(claimState(program), free, idle) : 0;
+    return tokens > 0 && m_peers.home(key.program) == m_peers.ownAddress() ? tokens : 0;
+}
+
+auto BudgetLedger::releaseNow(const ProgramKey& key, const ProgramPtr& program) -> void
+{
+    const auto tokens = releasable(key, *program, ClaimPolicy::s_scarceIdleTime);
+    if (tokens > 0 && m_openReleases < s_maxOpenReleases) {
+        framework::spawnTask(m_executor, "release_tokens", release(key, program, tokens));
+    }
+}
+
+auto BudgetLedger::releaseUnused() -> void
+{
+    auto due = std::vector<std::tuple<ProgramKey, ProgramPtr, std::uint64_t>>();
+    for (const auto& [key, program] : m_table.programs()) {
+        const auto idle = std::chrono::duration_cast<Milliseconds>(m_clock.now() - program->tokensUsedAt);
+        const auto tokens = releasable(key, *program, idle);
+        const auto isUnconfirmed = program->releasedTokens > 0 && !program->isRowBeingWritten;
+        if ((tokens > 0 || isUnconfirmed) && m_openReleases + due.size() < s_maxOpenReleases) {
+            due.emplace_back(key, program, isUnconfirmed ? 0 : tokens);
+        }
+    }
+    for (const auto& [key, program, tokens] : due) {
+        framework::spawnTask(m_executor, "release_tokens", release(key, program, tokens));
+    }
+}
+
+auto BudgetLedger::release(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> Async<void>
+{
+    if (program->isRowBeingWritten) {
+        co_return;
+    }
+    ++m_openReleases;
+    const auto released = ProgramTable::release(*program, tokens);
+    const auto isWritten = co_await writeRow(key, program, 0);
+    --m_openReleases;
+    const auto isUnknown = !isWritten && isWritten.error() == store::StoreError::OutcomeUnknown;
+    if (!isWritten && !isUnknown) {
+        ProgramTable::revokeRelease(*program, released);
+    }
+    const auto* outcome = isUnknown ? "unknown" : !isWritten ? "failed" : isWritten.value() ? "written" : "conflict";
+    framework::logEvent(
+        framework::LogLevel::Info, "programs", "tokens_released",
+        {{"program", key.program}, {"tokens", released}, {"outcome", outcome}, {"unclaimed", m_table.unclaimedTokens(*program)}});
+    program->changed.notify();
+}
+
+auto BudgetLedger::hasUnreleased() const -> bool
+{
+    return std::ranges::any_of(m_table.programs(),
+                               [this](const auto& entry) { return releasable(entry.first, *entry.second, Milliseconds(0)) > 0; });
+}
+
 auto BudgetLedger::stopHolding() -> void
 {
     m_isStopping = true;
     returnUnused();
+    releaseUnused();
 }
 
 } // namespace laburnummill::programs
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -64,6 +64,7 @@
     }
     const auto known = m_table.find(key);
     if (known && known->holding.reserve(demand.maxTokens)) {
+        known->tokensUsedAt = m_clock.now();
         if (m_requests == TokenRequests::InAdvance) {
             m_advance.onUsed(key);
             if (m_peers.home(key.program) == m_peers.ownAddress()) {
@@ -147,7 +148,9 @@
 {
     const auto program = m_table.program(key);
     program->holding.transferIn(tokens);
+    program->tokensUsedAt = m_clock.now();
     program->changed.notify();
+    releaseNow(key, program);
 }
 
 auto BudgetLedger::reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> Async<Reservation>
@@ -155,6 +158,8 @@
     const auto program = m_table.program(key);
     const auto maxTokens = demand.maxTokens;
     program->history = demand.history;
+    program->turnTokens = std::max(program->turnTokens, maxTokens);
+    program->tokensUsedAt = m_clock.now();
     ProgramTable::limitBudget(*program, demand.budget);
     program->awaitedTokens += maxTokens;
     const auto deadline = m_clock.now() + s_settleTimeout;
@@ -181,8 +186,7 @@
         }
         const auto hasRunningTurns = others.hasRunningTurns || program->holding.reserved() > 0;
         // Tokens recalled from other hosts may suffice together with those that are left in the row.
-        const auto hasRecalled =
-            m_requests == TokenRequests::InAdvance && last == Refill::Exhausted && program->holding.free() > freeBefore;
+        const auto hasRecalled = last == Refill::Exhausted && program->holding.free() > freeBefore;
         if (program->holding.free() >= maxTokens || hasRecalled) {
             continue;
         }
@@ -240,6 +244,7 @@
 {
     const auto program = m_table.program(key);
     program->holding.settle(reserved, used);
+    program->tokensUsedAt = m_clock.now();
     program->changed.notify();
     const auto isHome = m_peers.home(key.program) == m_peers.ownAddress();
     if (!isHome && mayHoldInAdvance(*program)) {
@@ -334,6 +339,7 @@
 
 auto BudgetLedger::refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<Refill>
 {
+    auto isRowFresh = false;
     for (auto attempt = 0; attempt < s_maxWriteAttempts; ++attempt) {
         if (program->isRowBeingWritten) {
             co_await program->changed.wait(s_claimPollInterval);
@@ -360,20 +366,30 @@
             co_return co_await readRow(key, program) ? Refill::Contended : Refill::Failed;
         }
         if (unclaimedTokens < maxTokens - free) {
-            // Entries of a row never decrease, so the number of unclaimed tokens does not grow again.
-            if (program->isRowKnown) {
+            if (isRowFresh && program->releasedTokens == 0) {
                 co_return Refill::Exhausted;
             }
+            if (program->releasedTokens > 0) {
+                // Another write settles whether this host's tokens were given back.
+                if (const auto isWritten = co_await writeRow(key, program, 0); !isWritten) {
+                    co_return Refill::Failed;
+                }
+                continue;
+            }
+            // Other hosts may have given tokens back since the row was read.
             if (!co_await readRow(key, program)) {
                 co_return Refill::Failed;
             }
+            isRowFresh = true;
             continue;
         }
         const auto waiting = std::max(program->awaitedTokens, maxTokens);
         // A host that stands in for a silent home claims no more than its turns need: its claim would be lost with it.
         const auto isStandIn = m_requests == TokenRequests::InAdvance && m_peers.home(key.program) != m_peers.ownAddress();
-        const auto extra = isStandIn ? 0 : prefetchSize(*program, unclaimedTokens, maxTokens);
-        const auto want = std::min(unclaimedTokens, waiting - std::min(free, waiting) + extra);
+        const auto needed = waiting - std::min(free, waiting);
+        const auto mostAhead = ClaimPolicy::claimableAhead(claimState(*program), needed);
+        const auto extra = isStandIn ? 0 : std::min(prefetchSize(*program, unclaimedTokens, maxTokens), mostAhead);
+        const auto want = std::min(unclaimedTokens, needed + extra);
         m_refills[key].storeCallStartedAt = m_clock.now();
         const auto isWritten = co_await writeRow(key, program, want);
         m_refills[key].storeCallStartedAt.reset();
@@ -411,14 +427,6 @@
     co_return false;
 }
 
-auto BudgetLedger::prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t
-{
-    // Programs use about a fifth of their budgets. Claiming half of the budget at first is enough to get through a store
-    // outage; the other half remains if the host that holds the first half fails.
-    const auto isFirstGrant = program.holding.totalGranted() == 0;
-    return isFirstGrant ? std::max(maxTokens, unclaimedTokens / 2 - std::min(unclaimedTokens / 2, maxTokens)) : maxTokens;
-}
-
 auto BudgetLedger::unrecordedTokens(const ProgramKey& key) const -> std::uint64_t
 {
     const auto program = m_table.find(key);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -4,6 +4,7 @@
 #include "peers/callall.h"
 #include "peers/ipeers.h"
 #include "programs/advancetokens.h"
+#include "programs/claimpolicy.h"
 #include "programs/outagegrants.h"
 #include "programs/outagegrantsearch.h"
 #include "programs/programtable.h"
@@ -75,9 +76,15 @@
     /// Returns tokens held in advance for which no turn came; called several times a second.
     auto returnUnused() -> void;
 
-    /// Returns all tokens held in advance and holds none from now on.
+    /// Gives tokens that no turn uses back to the budgets of their programs, by ClaimPolicy; called several times a second.
+    auto releaseUnused() -> void;
+
+    /// Returns all tokens held in advance, holds none from now on, and gives back all that turns leave.
     auto stopHolding() -> void;
 
+    /// Whether tokens remain to be given back, of programs whose rows the store accepts.
+    auto hasUnreleased() const -> bool;
+
     /// The programs about whose grants without the store other hosts have to ask this one.
     auto outageGrants() const -> OutageGrantSummaries { return m_grantSearch.summaries(m_table); }
 
@@ -87,8 +94,8 @@
     /// Programs that were refused for their budgets.
     auto spentPrograms() -> SpentPrograms& { return m_spent; }
 
-    /// Number of requests in advance and returns that the home hosts have not answered yet.
-    auto openTransfers() const -> int { return m_openTransfers; }
+    /// Number of requests in advance, returns and releases that the home hosts or the store have not answered yet.
+    auto openTransfers() const -> int { return m_openTransfers + static_cast<int>(m_openReleases); }
 
     /// Writes grants made during a store outage into the rows of their programs; called about once a second.
     auto recordUnrecordedGrants() -> framework::Async<void>;
@@ -168,6 +175,12 @@
     auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<Refill>;
+    auto claimState(const Program& program) const -> ClaimState;
+    /// Tokens that this host gives back now.
+    auto releasable(const ProgramKey& key, const Program& program, framework::Milliseconds idle) const -> std::uint64_t;
+    /// Gives back what is left of a turn that has ended, if the budget has little left.
+    auto releaseNow(const ProgramKey& key, const ProgramPtr& program) -> void;
+    auto release(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::Async<void>;
     static auto prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t;
     /// Tokens that other hosts may have granted without recording them in the row yet.
     auto possiblyUnrecorded(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<std::uint64_t>;
@@ -207,6 +220,7 @@
     SpentPrograms m_spent;
     OutageGrantSearch m_grantSearch;
     int m_openTransfers = 0;
+    std::size_t m_openReleases = 0;
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
     std::minstd_rand m_random{std::random_device()()};
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -15,6 +15,12 @@
 /// Longer than programs pause for tools and sub-agents.
 constexpr auto s_idleTimeout = Milliseconds(60'000);
 
+/// The value of an entry; negative if the host has given back tokens of other hosts' entries.
+auto balanceOf(const records::Holding& holding) -> std::int64_t
+{
+    return static_cast<std::int64_t>(holding.granted()) - static_cast<std::int64_t>(holding.returned());
+}
+
 } // namespace
 
 ProgramTable::ProgramTable(framework::asio::any_io_executor executor, const framework::IClock& clock, std::string host,
@@ -43,17 +49,18 @@
 
 auto ProgramTable::unclaimedTokens(const Program& program) const -> std::uint64_t
 {
-    auto taken = std::uint64_t{0};
-    auto own = program.holding.totalGranted();
+    auto others = std::int64_t{0};
+    auto own = program.holding.balance() + static_cast<std::int64_t>(program.releasedTokens);
     for (const auto& holding : program.row.holdings()) {
         if (isOwn(holding)) {
-            own = std::max<std::uint64_t>(own, holding.granted());
+            own = std::max(own, balanceOf(holding));
         } else {
-            taken += holding.granted();
+            others += balanceOf(holding);
         }
     }
-    own = std::max(own, program.unconfirmedEntry);
-    return program.budget - std::min(program.budget, taken + own);
+    own = std::max(own, static_cast<std::int64_t>(program.unconfirmedEntry));
+    const auto taken = static_cast<std::uint64_t>(std::max<std::int64_t>(others + own, 0));
+    return program.budget - std::min(program.budget, taken);
 }
 
 auto ProgramTable::limitBudget(Program& program, std::uint64_t budget) -> void
@@ -77,7 +84,9 @@
         own->set_host(m_host);
         own->set_incarnation(m_incarnation);
     }
-    own->set_granted(std::max<std::uint64_t>(own->granted(), program.holding.totalGranted() + tokens));
+    const auto balance = program.holding.balance() + static_cast<std::int64_t>(tokens);
+    own->set_granted(static_cast<std::uint64_t>(std::max<std::int64_t>(balance, 0)));
+    own->set_returned(static_cast<std::uint64_t>(std::max<std::int64_t>(-balance, 0)));
     own->set_spent(program.holding.spent());
     for (const auto& [incarnation, granted] : program.lostGrants) {
         if (!hasEntry(program, incarnation)) {
@@ -100,35 +109,48 @@
     program.row = std::move(change.row);
     program.rowVersion = version;
     program.isRowKnown = true;
+    program.rowReadAt = m_clock.now();
     program.unconfirmedEntry = 0;
+    program.releasedTokens = 0;
     program.lostGrants.clear();
     program.holding.grant(change.tokens);
-    // Tokens granted while the write was in progress are not in it.
-    program.unrecordedTokens = program.holding.totalGranted() - std::min(program.holding.totalGranted(), ownEntry(program));
+    updateUnrecorded(program); // Tokens granted while the write was in progress are not in it.
     program.changed.notify();
 }
 
 auto ProgramTable::adoptRow(Program& program, const store::Row* row) const -> void
 {
+    const auto version = row == nullptr || row->isRemoved ? store::s_absentRow : row->version;
+    if (program.releasedTokens > 0 && version == program.rowVersion) {
+        program.rowReadAt = m_clock.now();
+        return; // The write that gives tokens back may still be applied, so that they must not be used.
+    }
     auto record = records::ProgramRecord();
     if (row != nullptr && !row->isRemoved && !record.ParseFromString(row->value)) {
         framework::logEvent(framework::LogLevel::Error, "programs", "program_row_unreadable", {{"row", row->address.key}});
     }
-    for (const auto& holding : record.holdings()) {
-        const auto unknown = isOwn(holding) ? holding.granted() - std::min(holding.granted(), program.holding.totalGranted()) : 0;
-        if (isOwn(holding) && program.unconfirmedEntry > 0 && holding.granted() >= program.unconfirmedEntry) {
-            program.holding.grant(unknown); // The write of unknown outcome was applied.
-        } else {
-            program.holding.countAsSpent(unknown); // This host has evicted the program since.
-        }
+    const auto entry = ownEntry(record);
+    const auto difference = entry - program.holding.balance();
+    const auto unknown = static_cast<std::uint64_t>(std::max<std::int64_t>(difference, 0));
+    if (program.unconfirmedEntry > 0 && entry >= static_cast<std::int64_t>(program.unconfirmedEntry)) {
+        program.holding.grant(unknown); // The write of unknown outcome was applied.
+    } else {
+        const auto kept = std::min(unknown, program.releasedTokens); // Their release was not applied.
+        program.holding.grant(kept);
+        program.holding.countAsSpent(unknown - kept); // This host has evicted the program since.
+    }
+    if (!program.isRowKnown && entry < 0) {
+        program.holding.countAsReleased(static_cast<std::uint64_t>(-entry));
     }
+    program.releasedTokens = 0;
+    program.rowReadAt = m_clock.now();
     if (record.budget() > 0) {
         limitBudget(program, record.budget());
     }
     program.unconfirmedEntry = 0;
     program.row = std::move(record);
-    program.unrecordedTokens = program.holding.totalGranted() - std::min(program.holding.totalGranted(), ownEntry(program));
-    program.rowVersion = row == nullptr || row->isRemoved ? store::s_absentRow : row->version;
+    updateUnrecorded(program);
+    program.rowVersion = version;
     program.isRowKnown = true;
 }
 
@@ -141,10 +163,30 @@
     }
 }
 
-auto ProgramTable::ownEntry(const Program& program) const -> std::uint64_t
+auto ProgramTable::ownEntry(const records::ProgramRecord& row) const -> std::int64_t
+{
+    const auto found = std::ranges::find_if(row.holdings(), [this](const auto& holding) { return isOwn(holding); });
+    return found == row.holdings().end() ? 0 : balanceOf(*found);
+}
+
+auto ProgramTable::updateUnrecorded(Program& program) const -> void
+{
+    const auto difference = program.holding.balance() - ownEntry(program.row);
+    program.unrecordedTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(difference, 0));
+}
+
+auto ProgramTable::release(Program& program, std::uint64_t tokens) -> std::uint64_t
+{
+    const auto released = program.holding.release(tokens);
+    program.releasedTokens += released;
+    return released;
+}
+
+auto ProgramTable::revokeRelease(Program& program, std::uint64_t tokens) -> void
 {
-    const auto found = std::ranges::find_if(program.row.holdings(), [this](const auto& holding) { return isOwn(holding); });
-    return found == program.row.holdings().end() ? 0 : found->granted();
+    const auto revoked = std::min(tokens, program.releasedTokens);
+    program.holding.grant(revoked);
+    program.releasedTokens -= revoked;
 }
 
 auto ProgramTable::hasOtherHolders(const Program& program) const -> bool
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -29,6 +29,10 @@
     bool isRowBeingWritten = false;
     std::uint64_t unrecordedTokens = 0; ///< granted here during a store outage, not yet in the row
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
+    std::uint64_t releasedTokens = 0;   ///< given back by a write that is not known to be applied
+    std::uint64_t turnTokens = 0;       ///< the most that one of its turns may generate, as far as this host has seen
+    framework::Instant rowReadAt{};     ///< when the row was last read or written
+    framework::Instant tokensUsedAt{};  ///< when a turn last reserved or returned tokens
     std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
     std::uint64_t supportedIncarnation = 0;
     framework::Instant supportedAt{};     ///< when this host began to support it
@@ -45,7 +49,7 @@
 
 using ProgramPtr = std::shared_ptr<Program>;
 
-/// A conditional write of a program's row that claims `tokens` more for this host.
+/// A conditional write of a program's row that claims `tokens` more for this host and gives back those that it has released.
 struct RowChange
 {
     store::Condition condition;
@@ -69,6 +73,12 @@
     /// Tokens of the budget that no host has claimed, by the row as last read or written.
     auto unclaimedTokens(const Program& program) const -> std::uint64_t;
 
+    /// Takes up to `tokens` free tokens of the program from this host; the next write of the row gives them back to the budget.
+    static auto release(Program& program, std::uint64_t tokens) -> std::uint64_t;
+
+    /// Makes tokens usable on this host again whose release was certainly not written.
+    static auto revokeRelease(Program& program, std::uint64_t tokens) -> void;
+
     /// Sets the program's budget. The lowest value that its turns and its row state is valid.
     static auto limitBudget(Program& program, std::uint64_t budget) -> void;
 
@@ -106,7 +116,9 @@
     static auto rowOf(const ProgramKey& key) -> store::RowAddress;
 
 private:
-    auto ownEntry(const Program& program) const -> std::uint64_t;
+    /// The value of this host's entry; negative if it has given back tokens of other hosts' entries.
+    auto ownEntry(const records::ProgramRecord& row) const -> std::int64_t;
+    auto updateUnrecorded(Program& program) const -> void;
     auto isOwn(const records::Holding& holding) const -> bool;
 
     framework::asio::any_io_executor m_executor;
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -4,6 +4,7 @@
 #include "framework/global/errorcategory.h"
 #include "framework/global/tasks.h"
 #include "framework/logging/log.h"
+#include "programs/claimpolicy.h"
 #include "programs/outagegrantsearch.h"
 #include "store/callsize.h"
 
@@ -210,27 +211,35 @@
     // While other hosts may have grants that are not in the row, only BudgetLedger claims tokens: it queries these hosts first.
     const auto isLow = program && !OutageGrantSearch(m_peers, m_clock).isNeeded(key, *program) &&
                        program->holding.free() * 2 < write->maxTokens * s_prefetchHalfTurns;
-    if (!program || program->isRowBeingWritten || !(program->unrecordedTokens > 0 || (program->isRowKnown && isLow))) {
+    if (!program || program->isRowBeingWritten || !(program->unrecordedTokens > 0 || program->isRowKnown)) {
         return;
     }
-    // This write also claims tokens for the next turns, so that they need no write of their own.
+    // This write also claims tokens for the next turns, so that they need no write of their own, or gives back what is left.
+    const auto state = ClaimState{.budget = program->budget,
+                                  .unclaimedTokens = m_table.unclaimedTokens(*program),
+                                  .turnTokens = std::max(program->turnTokens, write->maxTokens)};
     const auto want = write->maxTokens * (s_prefetchHalfTurns + 2) / 2 -
                       std::min(program->holding.free(), write->maxTokens * (s_prefetchHalfTurns + 2) / 2);
-    const auto tokens = isLow ? std::min(m_table.unclaimedTokens(*program), want) : 0;
-    if (tokens == 0 && program->unrecordedTokens == 0) {
+    const auto tokens = isLow ? std::min(ClaimPolicy::claimableAhead(state, 0), want) : 0;
+    const auto mayRelease =
+        tokens == 0 && program->unrecordedTokens == 0 && program->awaitedTokens == 0 && program->isRowKnown && program->releasedTokens == 0;
+    const auto surplus = mayRelease ? ClaimPolicy::tokensToReleaseAtEnd(state, program->holding.free()) : 0;
+    const auto released = ProgramTable::release(*program, surplus);
+    if (tokens == 0 && program->unrecordedTokens == 0 && released == 0) {
         return;
     }
     auto change = m_table.prepareChange(key, *program, tokens);
     program->isRowBeingWritten = true;
     batch.transaction.conditions.push_back(change.condition);
     batch.transaction.puts.push_back(change.put);
-    batch.programs.emplace_back(program, std::move(change));
+    batch.programs.push_back({.program = program, .change = std::move(change), .released = released});
 }
 
 auto TurnJournal::handleReply(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool
 {
     const auto isStored = reply && reply.value().isApplied;
-    for (auto& [program, change] : batch.programs) {
+    const auto isUnknown = !reply && reply.error() == store::StoreError::OutcomeUnknown;
+    for (auto& [program, change, released] : batch.programs) {
         program->isRowBeingWritten = false;
         if (isStored) {
             m_table.onApplied(*program, std::move(change), reply.value().version);
@@ -240,6 +249,7 @@
             m_table.adoptRow(*program, found == rows.end() ? nullptr : &*found);
         } else {
             m_table.onOutcomeUnknown(*program, change);
+            ProgramTable::revokeRelease(*program, isUnknown ? 0 : released);
         }
         program->changed.notify();
     }
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -154,11 +154,19 @@
     };
     using RowReadPtr = std::shared_ptr<RowRead>;
 
+    /// A change of a program's row that is written with a turn.
+    struct ProgramWrite
+    {
+        ProgramPtr program;
+        RowChange change;
+        std::uint64_t released = 0; ///< tokens that it gives back
+    };
+
     struct Batch
     {
         store::Transaction transaction;
         std::vector<PendingWritePtr> writes;
-        std::vector<std::pair<ProgramPtr, RowChange>> programs;
+        std::vector<ProgramWrite> programs;
     };
 
     /// What the other hosts answered to a query for a turn.
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -211,6 +211,7 @@
         m_fleetState.backends().expire(m_clock.now());
         m_link.setReady(isReady());
         m_budgets.returnUnused();
+        m_budgets.releaseUnused();
         sinceMaintenance += s_limitsPeriod;
         if (sinceMaintenance < s_maintenancePeriod) {
             continue;
@@ -339,7 +340,7 @@
 auto EntryHost::isDrained() const -> bool
 {
     return m_callerContext.openRequests.count() == 0 && !m_journal.isWriting() && m_journal.replicas() == 0 && m_link.relays() == 0 &&
-           m_budgets.openTransfers() == 0 && !m_budgets.hasUnrecordedGrants();
+           m_budgets.openTransfers() == 0 && !m_budgets.hasUnrecordedGrants() && !m_budgets.hasUnreleased();
 }
 
 auto EntryHost::depart() -> Async<void>
