The end of a relayed connection is marked

Cause: such an answer ends with its connection, and the host in between passed bytes on without a mark of their end. The kernel closes the connections of a killed process in the usual way, so that the asking host read an orderly end.

Change: between hosts the server's bytes go in frames of a length and that many bytes; an empty frame says that the server has ended its connection. ServerStream, which reads connections to servers, turns an end without that mark into connection_reset, which is handled as a reset of the server always was. The asking host offers frames in RelayQuery, the answer accepts them; through a host of an earlier release each end counts as broken off, since it can't be told. A frame is written with the read that filled it, and one read takes all frames that have arrived; nothing is held beyond 8 KB a connection.

The same cause on related paths: plain answers, probes and requests read through the same stream; a connection that an exception closes, or one of a host that ends its grace, has no mark either. A direct connection that ends between events is still the server's own end.

--- a/src/peers/peertransport.cpp
+++ b/src/peers/peertransport.cpp
@@ -167,9 +167,11 @@
 
 auto PeerTransport::serveRelay(SocketPtr socket, messages::RelayQuery query) -> Async<void>
 {
+    const auto isFramed = query.reads_frames();
     const auto server = m_relays.count() < s_maxRelays ? co_await m_handler.connectForPeer(std::move(query)) : nullptr;
     auto response = messages::Response();
     response.set_is_relayed(server != nullptr);
+    response.set_is_framed(isFramed);
     const auto frame = encodeFrame(response);
     auto error = boost::system::error_code();
     co_await asio::async_write(*socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
@@ -177,7 +179,7 @@
         co_return;
     }
     const auto open = m_relays.begin();
-    co_await relay(socket, server);
+    co_await relay(socket, server, isFramed);
 }
 
 } // namespace laburnummill::peers
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -3,12 +3,14 @@
 #include "framework/global/tasks.h"
 #include "framework/global/timelimit.h"
 #include "peers/peerlink.h"
+#include "peers/relayframes.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 
 namespace laburnummill::peers {
 
@@ -39,17 +41,23 @@
     };
 }
 
-auto copy(SocketPtr from, SocketPtr to) -> Async<void>
+auto copy(SocketPtr from, SocketPtr to, bool isFramed) -> Async<void>
 {
     auto bytes = std::array<char, s_copyBytes>();
     auto error = boost::system::error_code();
+    auto hasEnded = false;
     while (!error) {
         const auto size = co_await from->async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            co_await asio::async_write(*to, asio::buffer(bytes, size), asio::redirect_error(asio::use_awaitable, error));
+        hasEnded = error == asio::error::eof;
+        if (!error || (hasEnded && isFramed)) {
+            const auto header = relayFrameHeader(size);
+            const auto buffers = std::array{asio::buffer(header, isFramed ? header.size() : 0), asio::buffer(std::as_const(bytes), size)};
+            auto writeError = boost::system::error_code();
+            co_await asio::async_write(*to, buffers, asio::redirect_error(asio::use_awaitable, writeError));
+            error = error ? error : writeError;
         }
     }
-    if (error != asio::error::eof) {
+    if (!hasEnded) {
         // A connection that was reset must not look like one that ended.
         auto ignored = boost::system::error_code();
         to->set_option(asio::socket_base::linger(true, 0), ignored);
@@ -81,14 +89,15 @@
 }
 
 auto openRelay(asio::any_io_executor executor, asio::ip::tcp::endpoint peer, messages::RelayQuery query, Milliseconds timeout,
-               CancellationPtr cancellation) -> Async<SocketPtr>
+               CancellationPtr cancellation) -> Async<RelayedConnection>
 {
     const auto socket = co_await connectWithin(executor, peer, timeout, std::move(cancellation));
     if (!socket) {
-        co_return nullptr;
+        co_return RelayedConnection();
     }
     auto limit = framework::TimeLimit(executor, timeout, closing(socket));
     auto request = messages::Request();
+    query.set_reads_frames(true);
     *request.mutable_relay_query() = std::move(query);
     const auto frame = encodeFrame(request);
     auto error = boost::system::error_code();
@@ -97,15 +106,15 @@
     limit.end();
     auto response = messages::Response();
     if (!answer || !socket->is_open() || !response.ParseFromString(*answer) || !response.is_relayed()) {
-        co_return nullptr;
+        co_return RelayedConnection();
     }
-    co_return socket;
+    co_return RelayedConnection{.socket = socket, .isFramed = response.is_framed()};
 }
 
-auto relay(SocketPtr one, SocketPtr other) -> Async<void>
+auto relay(SocketPtr host, SocketPtr server, bool isFramed) -> Async<void>
 {
-    framework::spawnTask(one->get_executor(), "relay", copy(one, other));
-    co_await copy(other, one);
+    framework::spawnTask(host->get_executor(), "relay", copy(host, server, false));
+    co_await copy(server, host, isFramed);
 }
 
 } // namespace laburnummill::peers
--- a/src/peers/tests/latehosttest.cpp
+++ b/src/peers/tests/latehosttest.cpp
@@ -70,8 +70,9 @@
     asio::co_spawn(
         context,
         [&]() -> Async<void> {
-            socket = co_await openRelay(context.get_executor(), acceptor.local_endpoint(), messages::RelayQuery(), Milliseconds(100),
-                                        std::make_shared<Cancellation>());
+            const auto relayed = co_await openRelay(context.get_executor(), acceptor.local_endpoint(), messages::RelayQuery(),
+                                                    Milliseconds(100), std::make_shared<Cancellation>());
+            socket = relayed.socket;
             hasEnded = true;
         },
         asio::detached);
--- a/src/serving/backendclient.cpp
+++ b/src/serving/backendclient.cpp
@@ -99,7 +99,7 @@
         parser.get().body().data = storage.data();
         parser.get().body().size = storage.size();
         auto error = boost::system::error_code();
-        co_await http::async_read_some(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -191,11 +191,10 @@
     const auto weak = std::weak_ptr(connection);
     cancellation->onCancel([weak] {
         if (const auto found = weak.lock()) {
-            auto ignored = boost::system::error_code();
-            found->socket.close(ignored);
+            found->stream.close();
         }
     });
-    if (!connection->socket.is_open()) {
+    if (!connection->stream.isOpen()) {
         result.outcome = AttemptOutcome::CancelledUnsent;
         co_return result;
     }
@@ -228,14 +227,13 @@
 auto BackendClient::probe(const backends::BackendPtr& backend, const std::string& healthPath, CancellationPtr cancellation) -> Async<bool>
 {
     const auto connection = co_await m_connections.acquire(backend, ConnectionUse::Probes, {}, cancellation);
-    if (!connection || !connection->socket.is_open()) {
+    if (!connection || !connection->stream.isOpen()) {
         co_return false;
     }
     const auto weak = std::weak_ptr(connection);
     cancellation->onCancel([weak] {
         if (const auto found = weak.lock()) {
-            auto ignored = boost::system::error_code();
-            found->socket.close(ignored);
+            found->stream.close();
         }
     });
     auto request = CallerRequest();
@@ -249,7 +247,7 @@
     auto error = boost::system::error_code();
     const auto isSent = !co_await send(*connection, request, target);
     if (isSent) {
-        co_await http::async_read_header(connection->socket, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     const auto ignore = [](std::string_view) -> Async<bool> { co_return true; };
     if (!isSent || error || (co_await readBody(*connection, parser, ignore)).fault != AttemptFault::None) {
@@ -274,7 +272,7 @@
     const auto head = formatHead(m_wire.encodeRequest(request, target), request.body.size());
     const auto buffers = std::array{asio::buffer(head), asio::buffer(request.body)};
     auto error = boost::system::error_code();
-    co_await asio::async_write(connection.socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(connection.stream, buffers, asio::redirect_error(asio::use_awaitable, error));
     co_return error;
 }
 
@@ -288,7 +286,7 @@
         parser.body_limit(m_memory.maxResponse());
         parser.skip(request.method == "HEAD");
         auto error = boost::system::error_code();
-        co_await http::async_read_header(connection.socket, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             result.isTooLarge =
                 error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow;
--- a/src/serving/backendconnectionpool.cpp
+++ b/src/serving/backendconnectionpool.cpp
@@ -141,13 +141,13 @@
     if (!connected.socket || !connected.socket->is_open()) {
         co_return nullptr;
     }
-    const auto connection = std::make_shared<BackendConnection>(std::move(*connected.socket));
+    const auto connection = std::make_shared<BackendConnection>(peers::ServerStream(std::move(*connected.socket), connected.end));
     connection->relay = std::move(connected.relay);
     const auto pool = m_pools.find(backend.get());
     if (pool != m_pools.end() && pool->second.idleTimeBeforeReset.count() > 0) {
         reduceIdleLimit(*backend, std::exchange(pool->second.idleTimeBeforeReset, {}));
     }
-    ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &s_tcpUserTimeoutMilliseconds,
+    ::setsockopt(connection->stream.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &s_tcpUserTimeoutMilliseconds,
                  sizeof(s_tcpUserTimeoutMilliseconds));
     co_return connection;
 }
@@ -176,7 +176,8 @@
 auto BackendConnectionPool::isReusable(BackendConnection& connection) const -> bool
 {
     const auto isUsable = connection.relay.empty() ? m_connector.areIdleConnectionsUsable() : m_connector.isRelayUsable(connection.relay);
-    return isUsable && m_clock.now() < connection.idleSince + maxIdleTime(connection) && isIdle(connection.socket.native_handle());
+    return isUsable && m_clock.now() < connection.idleSince + maxIdleTime(connection) && !connection.stream.hasUnread() &&
+           isIdle(connection.stream.descriptor());
 }
 
 } // namespace laburnummill::serving
--- a/src/serving/backendconnectionpool.h
+++ b/src/serving/backendconnectionpool.h
@@ -29,11 +29,11 @@
 /// A connection to one incarnation of a backend server. It carries one request at a time.
 struct BackendConnection
 {
-    explicit BackendConnection(framework::asio::ip::tcp::socket connected)
-        : socket(std::move(connected))
+    explicit BackendConnection(peers::ServerStream connected)
+        : stream(std::move(connected))
     {}
 
-    framework::asio::ip::tcp::socket socket;
+    peers::ServerStream stream;
     boost::beast::flat_buffer buffer{s_responseBufferLimit};
     framework::Milliseconds idleTimeout{0}; ///< as stated by the server; 0 if it states none
     framework::Instant idleSince{};
--- a/src/serving/serverconnector.cpp
+++ b/src/serving/serverconnector.cpp
@@ -62,7 +62,7 @@
         const auto socket = co_await m_dialer.dial(*endpoint, cancellation);
         if (socket) {
             m_reach.recordSuccess();
-            co_return ServerSocket{.socket = socket, .relay = {}};
+            co_return ServerSocket{.socket = socket};
         }
         if (cancellation->cancelled()) {
             co_return ServerSocket();
@@ -93,10 +93,12 @@
             break;
         }
         const auto endpoint = peers::parseEndpoint(address);
-        const auto socket = endpoint ? co_await peers::openRelay(m_executor, *endpoint, query, s_relayTimeout, cancellation) : nullptr;
-        m_metrics.count("relayed_connections", {{"outcome", socket ? "open" : "failed"}});
-        if (socket) {
-            co_return ServerSocket{.socket = socket, .relay = address};
+        const auto relayed =
+            endpoint ? co_await peers::openRelay(m_executor, *endpoint, query, s_relayTimeout, cancellation) : peers::RelayedConnection();
+        m_metrics.count("relayed_connections", {{"outcome", relayed.socket ? "open" : "failed"}});
+        if (relayed.socket) {
+            const auto end = relayed.isFramed ? peers::StreamEnd::Mark : peers::StreamEnd::Unknown;
+            co_return ServerSocket{.socket = relayed.socket, .relay = address, .end = end};
         }
     }
     co_return ServerSocket();
--- a/src/serving/serverconnector.h
+++ b/src/serving/serverconnector.h
@@ -6,6 +6,7 @@
 #include "framework/global/iclock.h"
 #include "framework/metrics/metrics.h"
 #include "peers/relay.h"
+#include "peers/serverstream.h"
 
 #include <random>
 #include <string>
@@ -45,6 +46,7 @@
 {
     peers::SocketPtr socket; ///< null if the server cannot be reached
     std::string relay;       ///< address of the host through which it leads; empty if it is direct
+    peers::StreamEnd end = peers::StreamEnd::Connection;
 };
 
 /// The hosts that reach the backend servers by themselves, as far as this host knows.
