A host recognises its own writes of a program's row

Cause: a claim of a program that the host did not know yet was sent a second time, on another way to the store, after the first one had been applied without an answer. The second one conflicted; the host found its own entry in the row, took it for one of a program that it had evicted, and counted the whole claim as spent. 280 of 500 tokens were gone, too many for another turn.

Change: entries carry the number of the write that made them. A host counts an entry as spent only if it was written before the program was added to its table; what it has written since is its own, whichever answer it received.

Evidence: aWriteThatWasAppliedBeforeItsRepetitionConflictedIsRecognisedInTheRow fails without the number.

--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -68,7 +68,7 @@
     program.budget = program.budget == 0 ? budget : std::min(program.budget, budget);
 }
 
-auto ProgramTable::prepareChange(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange
+auto ProgramTable::prepareChange(const ProgramKey& key, Program& program, std::uint64_t tokens) -> RowChange
 {
     auto row = program.row;
     row.set_format(s_format);
@@ -88,6 +88,8 @@
     own->set_granted(static_cast<std::uint64_t>(std::max<std::int64_t>(balance, 0)));
     own->set_returned(static_cast<std::uint64_t>(std::max<std::int64_t>(-balance, 0)));
     own->set_spent(program.holding.spent());
+    own->set_write(++m_writes);
+    program.firstWrite = program.firstWrite == 0 ? m_writes : program.firstWrite;
     for (const auto& [incarnation, granted] : program.lostGrants) {
         if (!hasEntry(program, incarnation)) {
             auto* lost = row.add_holdings();
@@ -132,15 +134,14 @@
     const auto entry = ownEntry(record);
     const auto difference = entry - program.holding.balance();
     const auto unknown = static_cast<std::uint64_t>(std::max<std::int64_t>(difference, 0));
-    if (program.unconfirmedEntry > 0 && entry >= static_cast<std::int64_t>(program.unconfirmedEntry)) {
-        program.holding.grant(unknown); // The write of unknown outcome was applied.
+    if (isEntryCurrent(program, record)) {
+        program.holding.grant(unknown); // A claim that seemed to have failed was applied, or a release was not.
     } else {
-        const auto kept = std::min(unknown, program.releasedTokens); // Their release was not applied.
+        // This host has evicted the program since, and does not know what it has used.
+        const auto kept = std::min(unknown, program.releasedTokens);
         program.holding.grant(kept);
-        program.holding.countAsSpent(unknown - kept); // This host has evicted the program since.
-    }
-    if (!program.isRowKnown && entry < 0) {
-        program.holding.countAsReleased(static_cast<std::uint64_t>(-entry));
+        program.holding.countAsSpent(unknown - kept);
+        program.holding.countAsReleased(static_cast<std::uint64_t>(!program.isRowKnown && entry < 0 ? -entry : 0));
     }
     program.releasedTokens = 0;
     program.rowReadAt = m_clock.now();
@@ -169,6 +170,13 @@
     return found == row.holdings().end() ? 0 : balanceOf(*found);
 }
 
+auto ProgramTable::isEntryCurrent(const Program& program, const records::ProgramRecord& row) const -> bool
+{
+    return program.firstWrite > 0 && std::ranges::any_of(row.holdings(), [this, &program](const auto& holding) {
+               return isOwn(holding) && holding.write() >= program.firstWrite;
+           });
+}
+
 auto ProgramTable::updateUnrecorded(Program& program) const -> void
 {
     const auto difference = program.holding.balance() - ownEntry(program.row);
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -29,11 +29,12 @@
     bool isRowBeingWritten = false;
     std::uint64_t unrecordedTokens = 0; ///< granted here during a store outage, not yet in the row
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
-    std::uint64_t releasedTokens = 0;   ///< given back by a write that is not known to be applied
-    std::uint64_t turnTokens = 0;       ///< the most that one of its turns may generate, as far as this host has seen
-    framework::Instant rowReadAt{};     ///< when the row was last read or written
-    framework::Instant tokensUsedAt{};  ///< when a turn last reserved or returned tokens
-    std::string supportedGrantor;       ///< address of the only host whose grants without the store this host supports; may be empty
+    std::uint64_t firstWrite = 0; ///< number of the first write of the row since the program was added to the table; 0 if there was none
+    std::uint64_t releasedTokens = 0;  ///< given back by a write that is not known to be applied
+    std::uint64_t turnTokens = 0;      ///< the most that one of its turns may generate, as far as this host has seen
+    framework::Instant rowReadAt{};    ///< when the row was last read or written
+    framework::Instant tokensUsedAt{}; ///< when a turn last reserved or returned tokens
+    std::string supportedGrantor;      ///< address of the only host whose grants without the store this host supports; may be empty
     std::uint64_t supportedIncarnation = 0;
     framework::Instant supportedAt{};     ///< when this host began to support it
     std::uint64_t supporters = 0;         ///< hosts that support the grants of this host, itself included
@@ -83,7 +84,7 @@
     static auto limitBudget(Program& program, std::uint64_t budget) -> void;
 
     /// Builds the write that claims `tokens` more and records grants made during a store outage, also those that hosts have lost.
-    auto prepareChange(const ProgramKey& key, const Program& program, std::uint64_t tokens) const -> RowChange;
+    auto prepareChange(const ProgramKey& key, Program& program, std::uint64_t tokens) -> RowChange;
 
     /// Updates the program after the write was applied with `version`.
     auto onApplied(Program& program, RowChange change, std::uint64_t version) const -> void;
@@ -119,6 +120,8 @@
     /// The value of this host's entry; negative if it has given back tokens of other hosts' entries.
     auto ownEntry(const records::ProgramRecord& row) const -> std::int64_t;
     auto updateUnrecorded(Program& program) const -> void;
+    /// Whether this host's entry in `row` was written since the program was added to the table.
+    auto isEntryCurrent(const Program& program, const records::ProgramRecord& row) const -> bool;
     auto isOwn(const records::Holding& holding) const -> bool;
 
     framework::asio::any_io_executor m_executor;
@@ -126,6 +129,7 @@
     std::string m_host;
     std::uint64_t m_incarnation;
     std::map<ProgramKey, ProgramPtr> m_programs;
+    std::uint64_t m_writes = 0; ///< of rows, so far
 };
 
 } // namespace laburnummill::programs
--- a/src/programs/tests/programtabletest.cpp
+++ b/src/programs/tests/programtabletest.cpp
@@ -103,6 +103,17 @@
     CHECK_EQUAL(400U, firstTable.unclaimedTokens(*program));
 }
 
+/// Guards against 402 to programs of which no turn has run, after a write was repeated on another way to the store.
+TEST(ProgramTable, aWriteThatWasAppliedBeforeItsRepetitionConflictedIsRecognisedInTheRow)
+{
+    const auto program = programOf(firstTable);
+    const auto change = firstTable.prepareChange(key, *program, 280);
+    const auto row = rowOf(change, 7);
+    firstTable.adoptRow(*program, &row);
+    CHECK_EQUAL(280U, program->holding.free());
+    CHECK_EQUAL(0U, program->holding.spent());
+}
+
 TEST(ProgramTable, aWriteThatWasNotAppliedTakesNoTokens)
 {
     const auto program = programOf(firstTable);
