A transfer of tokens whose answer is lost is cancelled

The home counted the tokens as transferred, the asking host did not have them.

Change: a grant query carries a number that the asking host chooses. Without an answer the host cancels that transfer, again with each tick for 10 s until it is confirmed. The home takes the tokens back once (TokenTransfers), or does not begin a transfer that was cancelled before. An earlier build ignores number and cancellation and behaves as before.

One and a quarter turns of a small budget stay unclaimed in place of two.

--- a/src/programs/budgetadvance.cpp
+++ b/src/programs/budgetadvance.cpp
@@ -1,10 +1,12 @@
 #include "programs/budgetledger.h"
 
+#include "framework/global/errorcategory.h"
 #include "framework/global/tasks.h"
 #include "framework/logging/log.h"
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 // Tokens that hosts claim or hold ahead of their use, those that they give back, and waits for home hosts that may not answer.
 
@@ -22,6 +24,9 @@
 
 constexpr auto s_maxOpenReleases = std::size_t{16};
 
+/// A host that cannot be reached for longer has usually ended.
+constexpr auto s_cancelTime = Milliseconds(10'000);
+
 } // namespace
 
 auto BudgetLedger::reserveAt(ProgramKey key, std::string address, TokenDemand demand) -> Async<std::optional<Reservation>>
@@ -79,6 +84,52 @@
     }
 }
 
+auto BudgetLedger::callForTokens(std::string address, peers::messages::GrantQuery query, Milliseconds timeout)
+    -> framework::AsyncResult<peers::messages::Response>
+{
+    const auto key = ProgramKey{.account = query.account(), .program = query.program()};
+    const auto transfer = std::max<std::uint64_t>(m_transferIds(), 1);
+    query.set_transfer(transfer);
+    auto request = peers::messages::Request();
+    *request.mutable_grant_query() = std::move(query);
+    auto response = co_await m_peers.call(address, std::move(request), timeout);
+    if (!response) {
+        framework::logEvent(framework::LogLevel::Warning, "programs", "transfer_cancelled", {{"program", key.program}, {"from", address}});
+        m_cancellations.push_back({.address = std::move(address), .key = key, .transfer = transfer, .until = m_clock.now() + s_cancelTime});
+        sendCancellations();
+    }
+    co_return response;
+}
+
+auto BudgetLedger::sendCancellations() -> void
+{
+    auto due = std::exchange(m_cancellations, {});
+    for (auto& cancellation : due) {
+        framework::spawnTask(m_executor, "cancel_transfer", cancelAt(std::move(cancellation)));
+    }
+}
+
+auto BudgetLedger::cancelAt(Cancellation cancellation) -> Async<void>
+{
+    auto request = peers::messages::Request();
+    auto& ended = *request.mutable_ended_turn();
+    ended.set_account(cancellation.key.account);
+    ended.set_program(cancellation.key.program);
+    ended.set_cancelled_transfer(cancellation.transfer);
+    const auto response = co_await m_peers.call(cancellation.address, std::move(request), s_transferTimeout);
+    if (!response && m_clock.now() < cancellation.until) {
+        m_cancellations.push_back(std::move(cancellation)); // Tried again with the next releases.
+    }
+}
+
+auto BudgetLedger::cancelTransfer(const ProgramKey& key, std::uint64_t transfer) -> void
+{
+    const auto tokens = m_transfers.cancel(transfer, m_clock.now());
+    if (tokens > 0) {
+        acceptReturnedTokens(key, tokens);
+    }
+}
+
 auto BudgetLedger::mayHoldInAdvance(const Program& program) const -> bool
 {
     // Tokens that are not in the row return at once: the turns that use them must be replicated with them.
@@ -102,18 +153,17 @@
 
 auto BudgetLedger::requestInAdvance(ProgramKey key, std::string home, std::uint64_t tokens, std::uint64_t turnTokens) -> Async<void>
 {
-    auto request = peers::messages::Request();
-    auto& query = *request.mutable_grant_query();
+    auto query = peers::messages::GrantQuery();
     query.set_account(key.account);
     query.set_program(key.program);
     query.set_tokens(tokens);
     query.set_holder(m_peers.ownAddress());
     ++m_openTransfers;
-    const auto response = co_await m_peers.call(home, std::move(request), s_transferTimeout);
+    const auto response = co_await callForTokens(home, std::move(query), s_transferTimeout);
     --m_openTransfers;
     m_advance.onRequestEnded(key);
     if (!response) {
-        co_return; // If the home host did transfer the tokens, they count as spent.
+        co_return;
     }
     m_homeWait.onHeard(home, m_clock.now());
     const auto program = m_table.program(key);
@@ -190,6 +240,56 @@
     }
 }
 
+auto BudgetLedger::recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void
+{
+    if (reservation.outcome != BudgetOutcome::Exhausted) {
+        return;
+    }
+    m_spent.record(key, m_clock.now());
+    const auto program = m_table.program(key);
+    auto entries = framework::Json::array();
+    for (const auto& holding : program->row.holdings()) {
+        entries.push_back({{"host", holding.host()},
+                           {"incarnation", holding.incarnation()},
+                           {"granted", holding.granted()},
+                           {"returned", holding.returned()},
+                           {"spent", holding.spent()}});
+    }
+    framework::logEvent(framework::LogLevel::Info, "programs", "budget_exhausted",
+                        {{"program", key.program},
+                         {"budget", program->budget},
+                         {"unclaimed", m_table.unclaimedTokens(*program)},
+                         {"free", program->holding.free()},
+                         {"reserved", program->holding.reserved()},
+                         {"entries", std::move(entries)}});
+}
+
+auto BudgetLedger::logClaim(const ProgramKey& key, const Program& program, std::uint64_t tokens,
+                            const framework::Result<bool>& isWritten) const -> void
+{
+    const auto outcome = !isWritten ? framework::codeOf(isWritten.error()) : isWritten.value() ? "written" : "conflict";
+    framework::logEvent(framework::LogLevel::Info, "programs", "tokens_claimed",
+                        {{"program", key.program},
+                         {"tokens", tokens},
+                         {"outcome", outcome},
+                         {"free", program.holding.free()},
+                         {"unclaimed", m_table.unclaimedTokens(program)}});
+}
+
+auto BudgetLedger::confirmShortage(ProgramKey key, ProgramPtr program, bool isRowFresh) -> Async<Refill>
+{
+    if (program->releasedTokens > 0) {
+        // Another write settles whether this host's tokens were given back.
+        const auto isWritten = co_await writeRow(key, program, 0);
+        co_return isWritten ? Refill::Done : Refill::Failed;
+    }
+    if (isRowFresh) {
+        co_return Refill::Exhausted;
+    }
+    // Other hosts may have given tokens back since the row was read.
+    co_return co_await readRow(key, program) ? Refill::Done : Refill::Failed;
+}
+
 auto BudgetLedger::prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t
 {
     // Programs use about a fifth of their budgets. Claiming half of the budget at first is enough to get through a store
@@ -217,16 +317,9 @@
     return tokens > 0 && m_peers.home(key.program) == m_peers.ownAddress() ? tokens : 0;
 }
 
-auto BudgetLedger::releaseNow(const ProgramKey& key, const ProgramPtr& program) -> void
-{
-    const auto tokens = releasable(key, *program, ClaimPolicy::s_scarceIdleTime);
-    if (tokens > 0 && m_openReleases < s_maxOpenReleases) {
-        framework::spawnTask(m_executor, "release_tokens", release(key, program, tokens));
-    }
-}
-
 auto BudgetLedger::releaseUnused() -> void
 {
+    sendCancellations();
     auto due = std::vector<std::tuple<ProgramKey, ProgramPtr, std::uint64_t>>();
     for (const auto& [key, program] : m_table.programs()) {
         const auto idle = std::chrono::duration_cast<Milliseconds>(m_clock.now() - program->tokensUsedAt);
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -55,11 +55,13 @@
     if (!query.grantor().empty()) {
         response.set_is_supported(support(*m_table.program(key), query.grantor(), query.grantor_incarnation()));
     } else if (!query.holder().empty() && !query.may_take_more()) {
-        response.set_granted(transferInAdvance(key, query.holder(), query.tokens()));
+        response.set_granted(m_transfers.mayBegin(query.transfer()) ? transferInAdvance(key, query.holder(), query.tokens()) : 0);
+        m_transfers.record(query.transfer(), response.granted(), m_clock.now());
     } else if (query.may_take_more()) {
         const auto history = query.is_history_sent_by_caller() ? TurnHistory::SentByCaller : TurnHistory::KeptByHosts;
         const auto reservation = co_await reserveForPeer(
-            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history});
+            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history},
+            query.transfer());
         response.set_granted(reservation.tokens);
         if (reservation.tokens > 0 && !query.holder().empty()) {
             m_table.program(key)->advanceHolders.insert(query.holder());
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -92,17 +92,9 @@
     co_return reservation;
 }
 
-auto BudgetLedger::recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void
-{
-    if (reservation.outcome == BudgetOutcome::Exhausted) {
-        m_spent.record(key, m_clock.now());
-    }
-}
-
 auto BudgetLedger::reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> Async<std::optional<Reservation>>
 {
-    auto request = peers::messages::Request();
-    auto& query = *request.mutable_grant_query();
+    auto query = peers::messages::GrantQuery();
     query.set_account(key.account);
     query.set_program(key.program);
     query.set_tokens(demand.maxTokens);
@@ -113,9 +105,9 @@
     if (m_requests == TokenRequests::InAdvance) {
         query.set_holder(m_peers.ownAddress());
     }
-    const auto response = co_await m_peers.call(std::move(home), std::move(request), s_homeTimeout);
+    const auto response = co_await callForTokens(std::move(home), std::move(query), s_homeTimeout);
     if (!response) {
-        co_return std::nullopt; // If the home host did grant the tokens, it counts them as transferred.
+        co_return std::nullopt;
     }
     const auto outcome = static_cast<BudgetOutcome>(response.value().budget_outcome());
     const auto program = m_table.program(key);
@@ -129,7 +121,7 @@
     co_return Reservation{.outcome = outcome, .tokens = response.value().granted(), .isRecorded = !response.value().is_grant_unrecorded()};
 }
 
-auto BudgetLedger::reserveForPeer(ProgramKey key, TokenDemand demand) -> Async<Reservation>
+auto BudgetLedger::reserveForPeer(ProgramKey key, TokenDemand demand, std::uint64_t transfer) -> Async<Reservation>
 {
     // The program's home host in another data centre sends this query if this host is the grantor; don't send one back.
     const auto isGrantor = hasProgram(key);
@@ -138,7 +130,12 @@
     if (reservation.outcome == BudgetOutcome::Reserved) {
         const auto program = m_table.program(key);
         program->holding.settle(reservation.tokens, 0);
+        if (!m_transfers.mayBegin(transfer)) {
+            program->changed.notify();
+            co_return Reservation(); // The other host waits no longer.
+        }
         program->holding.transferOut(reservation.tokens);
+        m_transfers.record(transfer, reservation.tokens, m_clock.now());
         prefetch(key, program, demand.maxTokens);
     }
     co_return reservation;
@@ -150,7 +147,6 @@
     program->holding.transferIn(tokens);
     program->tokensUsedAt = m_clock.now();
     program->changed.notify();
-    releaseNow(key, program);
 }
 
 auto BudgetLedger::reserveHere(ProgramKey key, TokenDemand demand, bool isGrantor) -> Async<Reservation>
@@ -366,21 +362,10 @@
             co_return co_await readRow(key, program) ? Refill::Contended : Refill::Failed;
         }
         if (unclaimedTokens < maxTokens - free) {
-            if (isRowFresh && program->releasedTokens == 0) {
-                co_return Refill::Exhausted;
-            }
-            if (program->releasedTokens > 0) {
-                // Another write settles whether this host's tokens were given back.
-                if (const auto isWritten = co_await writeRow(key, program, 0); !isWritten) {
-                    co_return Refill::Failed;
-                }
-                continue;
-            }
-            // Other hosts may have given tokens back since the row was read.
-            if (!co_await readRow(key, program)) {
-                co_return Refill::Failed;
+            if (const auto outcome = co_await confirmShortage(key, program, isRowFresh); outcome != Refill::Done) {
+                co_return outcome;
             }
-            isRowFresh = true;
+            isRowFresh = program->releasedTokens == 0;
             continue;
         }
         const auto waiting = std::max(program->awaitedTokens, maxTokens);
@@ -393,6 +378,7 @@
         m_refills[key].storeCallStartedAt = m_clock.now();
         const auto isWritten = co_await writeRow(key, program, want);
         m_refills[key].storeCallStartedAt.reset();
+        logClaim(key, *program, want, isWritten);
         if (!isWritten || isWritten.value()) {
             co_return isWritten ? Refill::Done : Refill::Failed;
         }
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -9,6 +9,7 @@
 #include "programs/outagegrantsearch.h"
 #include "programs/programtable.h"
 #include "programs/spentprograms.h"
+#include "programs/tokentransfers.h"
 #include "programs/turnabsence.h"
 #include "store/istore.h"
 #include "store/storehealth.h"
@@ -63,8 +64,8 @@
     /// program's home host; they are no longer counted on this host. Returns 0 if this host is the home.
     auto settle(const ProgramKey& key, std::uint64_t reserved, std::uint64_t used) -> std::uint64_t;
 
-    /// Reserves tokens on behalf of a turn at another host and transfers them to that host.
-    auto reserveForPeer(ProgramKey key, TokenDemand demand) -> framework::Async<Reservation>;
+    /// Reserves tokens on behalf of a turn at another host and transfers them to that host. `transfer`: see TokenTransfers.
+    auto reserveForPeer(ProgramKey key, TokenDemand demand, std::uint64_t transfer = 0) -> framework::Async<Reservation>;
 
     /// Answers another host's query for tokens. `replicatedTokens`: unrecorded tokens of the program in turns that other hosts ran
     /// and this host holds.
@@ -73,10 +74,14 @@
     /// Adds tokens that a turn at another host did not use.
     auto acceptReturnedTokens(const ProgramKey& key, std::uint64_t tokens) -> void;
 
+    /// The host that asked for this transfer has received no answer and does not use its tokens.
+    auto cancelTransfer(const ProgramKey& key, std::uint64_t transfer) -> void;
+
     /// Returns tokens held in advance for which no turn came; called several times a second.
     auto returnUnused() -> void;
 
-    /// Gives tokens that no turn uses back to the budgets of their programs, by ClaimPolicy; called several times a second.
+    /// Gives tokens that no turn uses back to the budgets of their programs, by ClaimPolicy, and repeats cancellations of transfers that
+    /// were not confirmed; called several times a second.
     auto releaseUnused() -> void;
 
     /// Returns all tokens held in advance, holds none from now on, and gives back all that turns leave.
@@ -138,6 +143,15 @@
         std::map<HostIncarnation, std::uint64_t> silentGrantors;
     };
 
+    /// A transfer to this host that the host at `address` is to take back.
+    struct Cancellation
+    {
+        std::string address;
+        ProgramKey key;
+        std::uint64_t transfer = 0;
+        framework::Instant until{};
+    };
+
     struct RefillState
     {
         bool isRunning = false;
@@ -149,12 +163,19 @@
     /// Reserves tokens while the store is away: at the grantor of the program if there is one, else as a grant of this host.
     auto reserveWithoutStore(const ProgramKey& key, ProgramPtr program, const TokenDemand& demand, const PeerHoldings& others,
                              bool isGrantor) -> framework::Async<Reservation>;
+    auto logClaim(const ProgramKey& key, const Program& program, std::uint64_t tokens, const framework::Result<bool>& isWritten) const
+        -> void;
     auto recordIfSpent(const ProgramKey& key, const Reservation& reservation) -> void;
     auto reserveAtHome(ProgramKey key, std::string home, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
     /// Reserves tokens at another host. With requests in advance, the wait is limited to what is usual; tokens that arrive later are
     /// held for the next turn or returned.
     auto reserveAt(ProgramKey key, std::string address, TokenDemand demand) -> framework::Async<std::optional<Reservation>>;
     auto releaseLate(const ProgramKey& key, const Reservation& reservation, const TokenDemand& demand) -> void;
+    /// Sends a query that may transfer tokens to this host, and cancels the transfer if there is no answer.
+    auto callForTokens(std::string address, peers::messages::GrantQuery query, framework::Milliseconds timeout)
+        -> framework::AsyncResult<peers::messages::Response>;
+    auto sendCancellations() -> void;
+    auto cancelAt(Cancellation cancellation) -> framework::Async<void>;
     auto mayHoldInAdvance(const Program& program) const -> bool;
     /// Returns the number of free tokens to send back after a turn; requests those that the next turn lacks.
     auto settleInAdvance(const ProgramKey& key, Program& program, std::uint64_t turnTokens) -> std::uint64_t;
@@ -175,11 +196,11 @@
     auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<Refill>;
+    /// Finds out whether the row has too few tokens indeed. Returns Done if the claim is to be tried once more.
+    auto confirmShortage(ProgramKey key, ProgramPtr program, bool isRowFresh) -> framework::Async<Refill>;
     auto claimState(const Program& program) const -> ClaimState;
     /// Tokens that this host gives back now.
     auto releasable(const ProgramKey& key, const Program& program, framework::Milliseconds idle) const -> std::uint64_t;
-    /// Gives back what is left of a turn that has ended, if the budget has little left.
-    auto releaseNow(const ProgramKey& key, const ProgramPtr& program) -> void;
     auto release(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> framework::Async<void>;
     static auto prefetchSize(const Program& program, std::uint64_t unclaimedTokens, std::uint64_t maxTokens) -> std::uint64_t;
     /// Tokens that other hosts may have granted without recording them in the row yet.
@@ -224,6 +245,9 @@
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
     std::minstd_rand m_random{std::random_device()()};
+    TokenTransfers m_transfers;
+    std::vector<Cancellation> m_cancellations; ///< that have not been confirmed and are not under way
+    std::mt19937_64 m_transferIds{(std::uint64_t{std::random_device()()} << 32U) | std::random_device()()};
 };
 
 } // namespace laburnummill::programs
--- a/src/programs/claimpolicy.cpp
+++ b/src/programs/claimpolicy.cpp
@@ -8,11 +8,15 @@
 
 using framework::Milliseconds;
 
-constexpr auto s_sharedTurns = std::uint64_t{2};
+/// A turn, and what some usual turns have used.
+constexpr auto s_sharedQuarterTurns = std::uint64_t{5};
 
 /// A program whose turns pause for longer has usually ended.
 constexpr auto s_idleTime = Milliseconds(2'500);
 
+/// The next turn of a program often begins within this time and uses what the last one has left.
+constexpr auto s_scarceIdleTime = Milliseconds(200);
+
 auto difference(std::uint64_t tokens, std::uint64_t less) -> std::uint64_t
 {
     return tokens - std::min(tokens, less);
@@ -22,7 +26,7 @@
 
 auto ClaimPolicy::sharedTokens(std::uint64_t budget, std::uint64_t turnTokens) -> std::uint64_t
 {
-    return std::max(budget / 2, s_sharedTurns * turnTokens);
+    return std::max(budget / 2, s_sharedQuarterTurns * turnTokens / 4);
 }
 
 auto ClaimPolicy::claimableAhead(const ClaimState& state, std::uint64_t needed) -> std::uint64_t
--- a/src/programs/claimpolicy.h
+++ b/src/programs/claimpolicy.h
@@ -19,13 +19,10 @@
 ///
 /// What a host has claimed is lost to its program if the host ends without notice, since no row tells how much of it was used. Tokens
 /// claimed ahead save a write for each turn and carry the program through an outage of the store. So hosts together claim ahead from
-/// a part of the budget only: half of it, and two turns, stay unclaimed but for the turns that run.
+/// a part of the budget only: half of it, and more than one turn, stay unclaimed but for the turns that run.
 class ClaimPolicy
 {
 public:
-    /// The write that stores a turn gives back what it has left, within this time.
-    static constexpr auto s_scarceIdleTime = framework::Milliseconds(50);
-
     /// Tokens of the budget that may not be claimed ahead.
     static auto sharedTokens(std::uint64_t budget, std::uint64_t turnTokens) -> std::uint64_t;
 
--- a/src/serving/fleetlinkrequests.cpp
+++ b/src/serving/fleetlinkrequests.cpp
@@ -86,7 +86,12 @@
         break;
     case messages::Request::kEndedTurn: {
         const auto& ended = request.ended_turn();
-        m_state.budgets->acceptReturnedTokens({.account = ended.account(), .program = ended.program()}, ended.returned_tokens());
+        const auto key = programs::ProgramKey{.account = ended.account(), .program = ended.program()};
+        if (ended.cancelled_transfer() != 0) {
+            m_state.budgets->cancelTransfer(key, ended.cancelled_transfer());
+            break;
+        }
+        m_state.budgets->acceptReturnedTokens(key, ended.returned_tokens());
         m_state.journal->cacheTurn(ended.record());
         break;
     }
