A read after the end mark of a relayed connection never ends before it has begun

The mark may arrive with the last bytes. The next read then ended inside the call that began it, which asio does not allow: the reading coroutine could be resumed before it was suspended. Found by reading; isPassedOnIfItArrivesWithTheLastBytes plays the case (it also passed before, as the awaiting coroutine bears it).

--- a/src/peers/serverstream.h
+++ b/src/peers/serverstream.h
@@ -88,7 +88,7 @@
                 step = Step::Reading;
                 return stream.m_socket.async_read_some(buffers, std::move(self));
             }
-            if (step == Step::Start && stream.m_frames.hasUnread()) {
+            if (step == Step::Start && stream.hasUnread()) {
                 step = Step::Posted; // An operation may not end before it has begun.
                 return framework::asio::post(stream.get_executor(), std::move(self));
             }
--- a/src/peers/tests/relayendtest.cpp
+++ b/src/peers/tests/relayendtest.cpp
@@ -140,6 +140,19 @@
     CHECK_TRUE(end == asio::error::eof);
 }
 
+TEST(RelayEnd, isPassedOnIfItArrivesWithTheLastBytes)
+{
+    auto hosts = pair();
+    const auto last = relayFrameHeader(8);
+    const auto mark = relayFrameHeader(0);
+    asio::write(*hosts.far, std::array{asio::const_buffer(asio::buffer(last)), asio::const_buffer("data: a\n", 8),
+                                       asio::const_buffer(asio::buffer(mark))});
+    read(hosts.near, StreamEnd::Mark);
+    context.run_for(std::chrono::milliseconds(50));
+    CHECK_EQUAL(std::string("data: a\n"), received);
+    CHECK_TRUE(end == asio::error::eof);
+}
+
 TEST(RelayEnd, isABreakIfTheServersConnectionIsReset)
 {
     pass(true, StreamEnd::Mark, [](tcp::socket& server, tcp::socket&) {
--- a/src/programs/budgetadvance.cpp
+++ b/src/programs/budgetadvance.cpp
@@ -324,7 +324,8 @@
     for (const auto& [key, program] : m_table.programs()) {
         const auto idle = std::chrono::duration_cast<Milliseconds>(m_clock.now() - program->tokensUsedAt);
         const auto tokens = releasable(key, *program, idle);
-        const auto isUnconfirmed = program->releasedTokens > 0 && !program->isRowBeingWritten;
+        const auto isUnconfirmed =
+            program->releasedTokens > 0 && !program->isRowBeingWritten && storeState(key) == store::StoreState::Prompt;
         if ((tokens > 0 || isUnconfirmed) && m_openReleases + due.size() < s_maxOpenReleases) {
             due.emplace_back(key, program, isUnconfirmed ? 0 : tokens);
         }
