A program's row is read and written by one call at a time

A read that overlaps a write of the same host may tell of the row before the write, or of the write before its answer. Since an entry that the host has made itself counts as free tokens, either would count them twice: a budget could be exceeded.

The read takes the same mark as the write. The test store answers late now, after it has done what it was asked, and histories give tokens back beside running turns; aHostNeverHoldsMoreThanItsEntryWhileTurnsAndReleasesOverlap checks the invariant (it also held before).

--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -422,8 +422,10 @@
 auto BudgetLedger::readRow(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
     const auto address = ProgramTable::rowOf(key);
+    program->isRowBeingWritten = true; // A read that overlaps a write may tell of the row before it, or of the write before its answer.
     const auto page = co_await m_store.list(
         {.table = address.table, .partition = address.partition, .from = address.key, .to = address.key + '!', .limit = 1});
+    program->isRowBeingWritten = false;
     if (!page) {
         co_return false;
     }
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -26,7 +26,7 @@
     records::ProgramRecord row; ///< as last read or written
     std::uint64_t rowVersion = store::s_absentRow;
     bool isRowKnown = false;
-    bool isRowBeingWritten = false;
+    bool isRowBeingWritten = false;     ///< or read: there is one call for it at a time
     std::uint64_t unrecordedTokens = 0; ///< granted here during a store outage, not yet in the row
     std::uint64_t unconfirmedEntry = 0; ///< value of this host's entry if a write of unknown outcome was applied
     std::uint64_t firstWrite = 0; ///< number of the first write of the row since the program was added to the table; 0 if there was none
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/systemclock.h"
 #include "programs/budgetledger.h"
+#include "programs/tests/sharedstore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,107 +26,8 @@
 inline constexpr auto s_hostsPerDataCentre = 2;
 inline constexpr auto s_hosts = 3 * s_hostsPerDataCentre;
 inline constexpr auto s_firstIncarnations = std::uint64_t{100}; ///< those of two hosts differ by this
-class SharedStore final : public store::IStore, public store::IStoreStatus
-{
-public:
-    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
-    {
-        if (isAway) {
-            co_return store::StoreError::Unavailable;
-        }
-        if (unansweredWrites > 0) {
-            m_delayed.push_back(std::move(transaction));
-            if (--unansweredWrites % 2 == 0) {
-                applyDelayed();
-            }
-            co_return store::StoreError::OutcomeUnknown;
-        }
-        const auto isApplied = apply(transaction);
-        co_return store::TransactionReply{.isApplied = isApplied, .version = m_row.version, .currentRows = {m_row}};
-    }
-
-    auto list(store::ListRequest) -> AsyncResult<store::RowPage> override
-    {
-        if (isAway) {
-            co_return store::StoreError::Unavailable;
-        }
-        co_return store::RowPage{.rows = {m_row}, .version = m_row.version, .hasMore = false};
-    }
-
-    auto state(std::string_view) const -> store::StoreState override
-    {
-        return isAway ? store::StoreState::Away : store::StoreState::Prompt;
-    }
-
-    /// Applies writes that were left without an answer, as far as their conditions still hold.
-    auto applyDelayed() -> void
-    {
-        for (const auto& transaction : m_delayed) {
-            apply(transaction);
-        }
-        m_delayed.clear();
-    }
-
-    auto awaitReturn(Milliseconds timeout) -> Async<void> override
-    {
-        auto pause = asio::steady_timer(co_await asio::this_coro::executor, timeout);
-        co_await pause.async_wait(asio::use_awaitable);
-    }
-
-    bool isAway = false;
-    int unansweredWrites = 0; ///< writes from now on whose outcome stays unknown; each second one is applied later
-
-private:
-    auto apply(const store::Transaction& transaction) -> bool
-    {
-        if (transaction.conditions.front().version != m_row.version) {
-            return false;
-        }
-        m_row = {.address = transaction.puts.front().address, .value = transaction.puts.front().value, .version = m_row.version + 1};
-        return true;
-    }
-
-    store::Row m_row;
-    std::vector<store::Transaction> m_delayed;
-};
-
-/// One host's way to the store, which can be cut.
-class SharedStoreWay final : public store::IStore, public store::IStoreStatus
-{
-public:
-    explicit SharedStoreWay(SharedStore& store)
-        : m_store(store)
-    {}
-
-    auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
-    {
-        if (isCut) {
-            co_return store::StoreError::Unavailable;
-        }
-        co_return co_await m_store.transact(std::move(transaction));
-    }
-
-    auto list(store::ListRequest request) -> AsyncResult<store::RowPage> override
-    {
-        if (isCut) {
-            co_return store::StoreError::Unavailable;
-        }
-        co_return co_await m_store.list(std::move(request));
-    }
-
-    auto state(std::string_view partition) const -> store::StoreState override
-    {
-        return isCut ? store::StoreState::Away : m_store.state(partition);
-    }
-
-    auto awaitReturn(Milliseconds timeout) -> Async<void> override { co_await m_store.awaitReturn(timeout); }
-
-    bool isCut = false;
-
-private:
-    SharedStore& m_store;
-};
 
+/// The system's clock with leaps.
 class LeapingClock final : public framework::IClock
 {
 public:
--- a/src/programs/tests/budgetrestarttest.cpp
+++ b/src/programs/tests/budgetrestarttest.cpp
@@ -118,3 +118,26 @@
     }
     LONGS_EQUAL(BudgetOutcome::Exhausted, turn(0, s_turn));
 }
+
+TEST(BudgetAfterRestarts, aHostNeverHoldsMoreThanItsEntryWhileTurnsAndReleasesOverlap)
+{
+    for (auto seed = 1U; seed <= 10; ++seed) {
+        auto random = std::minstd_rand(seed);
+        auto runs = Fleet();
+        runs.beginLargeProgram();
+        runs.budget = 3 * s_turn;
+        runs.store.longestAnswerTime = Milliseconds(6);
+        for (auto step = 0; step < 12; ++step) {
+            runs.clock.leap(Milliseconds(250));
+            for (auto turns = 1 + random() % 3; turns > 0; --turns) {
+                runs.start(0, random() % 60);
+            }
+            runs.hosts[0]->ledger.releaseUnused();
+            runs.run();
+            const auto program = runs.hosts[0]->table.find(runs.key);
+            const auto held = program->holding.spent() + program->holding.free();
+            CHECK_TEXT(held <= program->budget, ("seed " + std::to_string(seed)).c_str());
+            CHECK_TRUE(held <= program->row.holdings(0).granted() + program->unrecordedTokens);
+        }
+    }
+}
--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -324,6 +324,7 @@
             trial.restart(number);
             break;
         case 15:
+            trial.store.longestAnswerTime = Milliseconds(random() % 6);
             trial.store.unansweredWrites = static_cast<int>(random() % 4);
             break;
         case 16:
@@ -334,6 +335,9 @@
                 trial.start(static_cast<int>(random() % s_hosts), kinds == s_failures ? s_budget : random() % s_turn);
                 trial.isFirstTurn = false;
             }
+            if (kinds == s_failuresAndReleases) {
+                std::ranges::for_each(trial.hosts, [](const auto& host) { host->ledger.releaseUnused(); });
+            }
             trial.run();
         }
     }
