--- a/src/programs/tests/fleetbudgettest.cpp
+++ b/src/programs/tests/fleetbudgettest.cpp
@@ -278,13 +278,61 @@
     trial.run();
 }
 
+/// A step in which hosts give tokens back, or the store leaves their writes without an answer. Returns false if `kind` is none of these.
+auto playRelease(Fleet& trial, unsigned kind, int number, std::minstd_rand& random) -> bool
+{
+    const auto& stopped = trial.hosts[number];
+    switch (kind) {
+    case 12:
+    case 13:
+        trial.clock.leap(Milliseconds(random() % 3'000));
+        for (const auto& host : trial.hosts) {
+            releaseTokens(trial, *host);
+        }
+        return true;
+    case 14:
+        stopped->ledger.stopHolding();
+        trial.run();
+        releaseTokens(trial, *stopped);
+        trial.restart(number);
+        return true;
+    case 15:
+        trial.store.longestAnswerTime = Milliseconds(random() % 6);
+        trial.store.unansweredWrites = static_cast<int>(random() % 4);
+        return true;
+    case 16:
+        trial.store.applyDelayed();
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// A few turns at the same time.
+auto playTurns(Fleet& trial, bool isGivingBack, std::minstd_rand& random) -> void
+{
+    for (auto turn = 0; turn < 3; ++turn) {
+        const auto host = static_cast<int>(random() % s_hosts);
+        trial.start(host, isGivingBack ? random() % s_turn : s_budget);
+        trial.isFirstTurn = false;
+    }
+    if (isGivingBack) {
+        std::ranges::for_each(trial.hosts, [](const auto& host) { host->ledger.releaseUnused(); });
+    }
+    trial.run();
+}
+
 /// Some steps of a history in which the store, single ways to it, data centres and hosts fail in any order while turns run.
 auto playHistory(Fleet& trial, unsigned seed, int steps, unsigned kinds) -> void
 {
     auto random = std::minstd_rand(seed);
     for (auto step = 0; step < steps; ++step) {
         const auto number = static_cast<int>(random() % s_hosts);
-        switch (random() % kinds) {
+        const auto kind = random() % kinds;
+        if (playRelease(trial, kind, number, random)) {
+            continue;
+        }
+        switch (kind) {
         case 0:
             trial.setStoreAway(!trial.store.isAway);
             break;
@@ -310,35 +358,8 @@
         case 6:
             trial.frozen = trial.frozen.empty() ? std::set<int>{number} : std::set<int>();
             break;
-        case 12:
-        case 13:
-            trial.clock.leap(Milliseconds(random() % 3'000));
-            for (const auto& host : trial.hosts) {
-                releaseTokens(trial, *host);
-            }
-            break;
-        case 14:
-            trial.hosts[number]->ledger.stopHolding();
-            trial.run();
-            releaseTokens(trial, *trial.hosts[number]);
-            trial.restart(number);
-            break;
-        case 15:
-            trial.store.longestAnswerTime = Milliseconds(random() % 6);
-            trial.store.unansweredWrites = static_cast<int>(random() % 4);
-            break;
-        case 16:
-            trial.store.applyDelayed();
-            break;
         default:
-            for (auto turn = 0; turn < 3; ++turn) {
-                trial.start(static_cast<int>(random() % s_hosts), kinds == s_failures ? s_budget : random() % s_turn);
-                trial.isFirstTurn = false;
-            }
-            if (kinds == s_failuresAndReleases) {
-                std::ranges::for_each(trial.hosts, [](const auto& host) { host->ledger.releaseUnused(); });
-            }
-            trial.run();
+            playTurns(trial, kinds == s_failuresAndReleases, random);
         }
     }
 }
