--- a/src/programs/claimpolicy.cpp
+++ b/src/programs/claimpolicy.cpp
@@ -8,7 +8,7 @@
 
 using framework::Milliseconds;
 
-/// A turn, and what some usual turns have used.
+/// In quarters of a turn's most: a turn can still begin after some that used little.
 constexpr auto s_sharedQuarterTurns = std::uint64_t{5};
 
 /// A program whose turns pause for longer has usually ended.
