--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -502,6 +502,7 @@
     }
 
     int eventPauseMs = 20;
+    std::function<int(const Message& request)> plainStatus = [](const Message&) { return 200; };
 
 private:
     void serve(Channel& channel)
@@ -522,8 +523,10 @@
                 continue;
             }
             m_ran(m_id, *request);
-            const auto head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id + "\r\n";
-            if (request->first.find(" /turns/") == std::string::npos) {
+            const auto isStream = request->first.find(" /turns/") != std::string::npos;
+            const auto status = isStream ? 200 : plainStatus(*request);
+            const auto head = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " F") + "\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id + "\r\n";
+            if (!isStream) {
                 const auto body = "answer to " + id;
                 channel.write(head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
                 continue;
