--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -59,9 +59,13 @@
         m_transfers.record(query.transfer(), response.granted(), m_clock.now());
     } else if (query.may_take_more()) {
         const auto history = query.is_history_sent_by_caller() ? TurnHistory::SentByCaller : TurnHistory::KeptByHosts;
-        const auto reservation = co_await reserveForPeer(
-            key, {.budget = query.budget(), .maxTokens = query.tokens(), .isFirstTurn = query.is_first_turn(), .history = history},
-            query.transfer());
+        const auto reservation = co_await reserveForPeer(key,
+                                                         {.budget = query.budget(),
+                                                          .maxTokens = query.tokens(),
+                                                          .isFirstTurn = query.is_first_turn(),
+                                                          .continuesProgram = query.continues_program(),
+                                                          .history = history},
+                                                         query.transfer());
         response.set_granted(reservation.tokens);
         if (reservation.tokens > 0 && !query.holder().empty()) {
             m_table.program(key)->advanceHolders.insert(query.holder());
@@ -99,7 +103,15 @@
 
 auto BudgetLedger::recordUnrecordedGrants() -> Async<void>
 {
+    if (!m_alternateGrants.areAllKnown()) {
+        co_await m_alternateGrants.read();
+    }
+    co_await m_alternateGrants.removeDispensable();
     auto programs = m_table.withUnrecordedTokens();
+    std::erase_if(programs, [this](const auto& entry) {
+        const auto& [key, program] = entry;
+        return program->unrecordedTokens > 0 ? isStoreAway(key) && !isAwayAlone(key) : !isToMoveEntries(key, *program);
+    });
     if (programs.empty() || !co_await recordGrants(programs.front().first, programs.front().second)) {
         co_return; // Retried at the next call.
     }
@@ -118,9 +130,19 @@
     }
 }
 
+auto BudgetLedger::isToMoveEntries(const ProgramKey& key, const Program& program) const -> bool
+{
+    return !program.entriesElsewhere.empty() && storeState(key) == store::StoreState::Prompt &&
+           m_peers.committer(partitionName(partitionOf(key))) == m_peers.ownAddress();
+}
+
 auto BudgetLedger::recordGrants(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
-    for (auto attempt = 0; attempt < s_maxRecordAttempts && program->unrecordedTokens > 0 && !program->isRowBeingWritten; ++attempt) {
+    if (isAwayAlone(key)) {
+        co_return co_await m_alternateGrants.record(key, program);
+    }
+    const auto isToRecord = [&program] { return program->unrecordedTokens > 0 || !program->entriesElsewhere.empty(); };
+    for (auto attempt = 0; attempt < s_maxRecordAttempts && isToRecord() && !program->isRowBeingWritten; ++attempt) {
         const auto isWritten = co_await writeRow(key, program, 0);
         if (!isWritten && isWritten.error() == store::StoreError::Rejected) {
             framework::logEvent(framework::LogLevel::Error, "programs", "program_row_rejected", {{"program", key.program}});
@@ -256,6 +278,11 @@
     return storeState(key) == store::StoreState::Away;
 }
 
+auto BudgetLedger::isAwayAlone(const ProgramKey& key) const -> bool
+{
+    return m_storeStatus.isAwayAlone(partitionName(partitionOf(key)));
+}
+
 auto BudgetLedger::mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool
 {
     if (demand.history == TurnHistory::KeptByHosts) {
@@ -319,7 +346,16 @@
         grantor = co_await collectSupport(key, program);
     }
     if (grantor.empty() || isGrantor) {
-        co_return grantWithoutStore(key, *program, demand, others);
+        auto reservation = grantWithoutStore(key, *program, demand, others);
+        if (reservation.outcome == BudgetOutcome::Reserved && isAwayAlone(key)) {
+            // The program's turns outlive the loss of all hosts there, and can be continued.
+            reservation.isRecorded = co_await m_alternateGrants.record(key, program);
+            if (!reservation.isRecorded) {
+                program->holding.settle(reservation.tokens, 0);
+                co_return Reservation();
+            }
+        }
+        co_return reservation;
     }
     // One host grants tokens for all hosts that reach it.
     const auto fromGrantor = co_await reserveAt(key, grantor, demand);
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -55,6 +55,7 @@
     , m_clock(clock)
     , m_requests(requests)
     , m_grantSearch(peers, clock)
+    , m_alternateGrants(m_executor, table, store, storeStatus, clock)
 {}
 
 auto BudgetLedger::reserve(ProgramKey key, TokenDemand demand) -> Async<Reservation>
@@ -100,6 +101,7 @@
     query.set_tokens(demand.maxTokens);
     query.set_budget(demand.budget);
     query.set_is_first_turn(demand.isFirstTurn);
+    query.set_continues_program(demand.continuesProgram);
     query.set_is_history_sent_by_caller(demand.history == TurnHistory::SentByCaller);
     query.set_may_take_more(true);
     if (m_requests == TokenRequests::InAdvance) {
@@ -154,6 +156,7 @@
     const auto program = m_table.program(key);
     const auto maxTokens = demand.maxTokens;
     program->history = demand.history;
+    program->isContinued = program->isContinued || demand.continuesProgram;
     program->turnTokens = std::max(program->turnTokens, maxTokens);
     program->tokensUsedAt = m_clock.now();
     ProgramTable::limitBudget(*program, demand.budget);
@@ -341,6 +344,9 @@
             co_await program->changed.wait(s_claimPollInterval);
             continue;
         }
+        if (!m_alternateGrants.areAllKnown() && co_await mayLackGrants(key, program)) {
+            co_return Refill::Contended;
+        }
         const auto free = program->holding.free();
         if (free >= maxTokens) {
             co_return Refill::Done;
@@ -389,6 +395,17 @@
     co_return Refill::Contended;
 }
 
+auto BudgetLedger::mayLackGrants(ProgramKey key, ProgramPtr program) -> Async<bool>
+{
+    co_await m_alternateGrants.read();
+    if (m_alternateGrants.areAllKnown() || !program->isContinued) {
+        co_return false;
+    }
+    // Grants of a program that has a row are within one turn's tokens.
+    const auto isRead = program->isRowKnown || (!program->isRowBeingWritten && co_await readRow(key, program));
+    co_return !isRead || (program->row.holdings().empty() && program->entriesElsewhere.empty());
+}
+
 auto BudgetLedger::writeRow(ProgramKey key, ProgramPtr program, std::uint64_t tokens) -> AsyncResult<bool>
 {
     auto change = m_table.prepareChange(key, *program, tokens);
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -4,6 +4,7 @@
 #include "peers/callall.h"
 #include "peers/ipeers.h"
 #include "programs/advancetokens.h"
+#include "programs/alternategrants.h"
 #include "programs/claimpolicy.h"
 #include "programs/outagegrants.h"
 #include "programs/outagegrantsearch.h"
@@ -102,9 +103,13 @@
     /// Number of requests in advance, returns and releases that the home hosts or the store have not answered yet.
     auto openTransfers() const -> int { return m_openTransfers + static_cast<int>(m_openReleases); }
 
-    /// Writes grants made during a store outage into the rows of their programs; called about once a second.
+    /// Writes grants made during a store outage into the rows of their programs, or to other partitions while those of the rows are away;
+    /// called about once a second.
     auto recordUnrecordedGrants() -> framework::Async<void>;
 
+    /// Grants that hosts have recorded in other partitions than those of the programs' rows.
+    auto alternateGrants() -> AlternateGrants& { return m_alternateGrants; }
+
     /// Transfers up to `maxTokens` free tokens of a program to another host; returns how many.
     auto transferTokens(const ProgramKey& key, std::uint64_t maxTokens) -> std::uint64_t;
 
@@ -226,6 +231,12 @@
     auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
     auto unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t;
     auto isStoreAway(const ProgramKey& key) const -> bool;
+    /// Whether the store answers for other partitions than that of the program's row.
+    auto isAwayAlone(const ProgramKey& key) const -> bool;
+    /// Whether it is for this host to write to the program's row what it knows from rows in other partitions.
+    auto isToMoveEntries(const ProgramKey& key, const Program& program) const -> bool;
+    /// Whether hosts may have granted tokens of the program that neither its row nor a row read from another partition shows.
+    auto mayLackGrants(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
     /// Returns false if the store does not accept writes now.
     auto recordGrants(ProgramKey key, ProgramPtr program) -> framework::Async<bool>;
 
@@ -240,6 +251,7 @@
     HomeWait m_homeWait;
     SpentPrograms m_spent;
     OutageGrantSearch m_grantSearch;
+    AlternateGrants m_alternateGrants;
     int m_openTransfers = 0;
     std::size_t m_openReleases = 0;
     bool m_isStopping = false;
--- a/src/programs/commitpolicy.cpp
+++ b/src/programs/commitpolicy.cpp
@@ -18,10 +18,13 @@
     if (view.isRejected) {
         return CommitStep::GiveUp;
     }
-    if (isAway && view.outage == OutageScope::Fleet) {
+    if (isAway && !view.isAwayAlone && view.outage == OutageScope::Fleet) {
         return CommitStep::Replicate;
     }
-    return now >= view.endBy ? CommitStep::GiveUp : CommitStep::AwaitStore;
+    if (now >= view.endBy) {
+        return CommitStep::GiveUp;
+    }
+    return isAway && view.isAwayAlone ? CommitStep::StoreElsewhere : CommitStep::AwaitStore;
 }
 
 auto mustBeServedElsewhere(store::StoreState state, OutageScope outage) -> bool
--- a/src/programs/commitpolicy.h
+++ b/src/programs/commitpolicy.h
@@ -10,9 +10,10 @@
 /// What the end of an answer waits for while its turn is not in the store yet.
 enum class CommitStep
 {
-    AwaitStore, ///< only a stored turn outlives the loss of this host and of those that it reaches
-    Replicate,  ///< the turn is kept in the memory of several hosts
-    GiveUp,     ///< the store does not take the turn in time, and the answer must not end as if it were whole
+    AwaitStore,     ///< only a stored turn outlives the loss of this host and of those that it reaches
+    StoreElsewhere, ///< the turn is written to another partition
+    Replicate,      ///< the turn is kept in the memory of several hosts
+    GiveUp,         ///< the store does not take the turn in time, and the answer must not end as if it were whole
 };
 
 /// What the end of an answer rests on.
@@ -20,12 +21,14 @@
 {
     store::StoreState store = store::StoreState::Prompt; ///< for the partition of the turn
     OutageScope outage = OutageScope::Undecided;         ///< if the store is away
+    bool isAwayAlone = false;                            ///< the store answers for other partitions
     TurnHistory history = TurnHistory::KeptByHosts;
     bool isRejected = false;    ///< the store does not accept the turn
     framework::Instant endBy{}; ///< until when the caller waits
 };
 
-/// Copies in memory stand in for the row of a turn only in an outage of the whole fleet. Hosts that are cut off together may be lost
+/// While the store answers this host for some partition, it can keep the turn. Copies in memory stand in for the row of a turn only in an
+/// outage of the whole store for the whole fleet. Hosts that are cut off together may be lost
 /// together, and with them all copies that they hold for each other, while the store and the other hosts go on. A turn whose history the
 /// caller keeps has no row that others need: its copies only tell of the tokens that it used.
 auto nextCommitStep(const CommitView& view, framework::Instant now) -> CommitStep;
--- a/src/programs/programtable.cpp
+++ b/src/programs/programtable.cpp
@@ -3,6 +3,8 @@
 #include "framework/logging/log.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace laburnummill::programs {
 
@@ -21,6 +23,31 @@
     return static_cast<std::int64_t>(holding.granted()) - static_cast<std::int64_t>(holding.returned());
 }
 
+auto entryOf(records::ProgramRecord& row, const records::Holding& wanted) -> records::Holding*
+{
+    for (auto& holding : *row.mutable_holdings()) {
+        if (holding.incarnation() == wanted.incarnation() && (holding.host() == wanted.host() || holding.host().empty())) {
+            return &holding;
+        }
+    }
+    return nullptr;
+}
+
+/// The row with the entries that other partitions have: of two of one incarnation, that of the later write.
+auto merged(const Program& program) -> records::ProgramRecord
+{
+    auto row = program.row;
+    for (const auto& [incarnation, elsewhere] : program.entriesElsewhere) {
+        auto* entry = entryOf(row, elsewhere.holding);
+        if (entry == nullptr) {
+            *row.add_holdings() = elsewhere.holding;
+        } else if (entry->write() < elsewhere.holding.write()) {
+            *entry = elsewhere.holding;
+        }
+    }
+    return row;
+}
+
 } // namespace
 
 ProgramTable::ProgramTable(framework::asio::any_io_executor executor, const framework::IClock& clock, std::string host,
@@ -51,7 +78,9 @@
 {
     auto others = std::int64_t{0};
     auto own = program.holding.balance() + static_cast<std::int64_t>(program.releasedTokens);
-    for (const auto& holding : program.row.holdings()) {
+    const auto withOthers = program.entriesElsewhere.empty() ? std::nullopt : std::optional(merged(program));
+    const auto& row = withOthers ? *withOthers : program.row;
+    for (const auto& holding : row.holdings()) {
         if (isOwn(holding)) {
             own = std::max(own, balanceOf(holding));
         } else {
@@ -70,7 +99,7 @@
 
 auto ProgramTable::prepareChange(const ProgramKey& key, Program& program, std::uint64_t tokens) -> RowChange
 {
-    auto row = program.row;
+    auto row = merged(program);
     row.set_format(s_format);
     row.set_account(key.account);
     row.set_program(key.program);
@@ -84,12 +113,7 @@
         own->set_host(m_host);
         own->set_incarnation(m_incarnation);
     }
-    const auto balance = program.holding.balance() + static_cast<std::int64_t>(tokens);
-    own->set_granted(static_cast<std::uint64_t>(std::max<std::int64_t>(balance, 0)));
-    own->set_returned(static_cast<std::uint64_t>(std::max<std::int64_t>(-balance, 0)));
-    own->set_spent(program.holding.spent());
-    own->set_write(++m_writes);
-    program.firstWrite = program.firstWrite == 0 ? m_writes : program.firstWrite;
+    setBalance(program, program.holding.balance() + static_cast<std::int64_t>(tokens), *own);
     for (const auto& [incarnation, granted] : program.lostGrants) {
         if (!hasEntry(program, incarnation)) {
             auto* lost = row.add_holdings();
@@ -106,7 +130,7 @@
             .tokens = tokens};
 }
 
-auto ProgramTable::onApplied(Program& program, RowChange change, std::uint64_t version) const -> void
+auto ProgramTable::onApplied(Program& program, RowChange change, std::uint64_t version) -> void
 {
     program.row = std::move(change.row);
     program.rowVersion = version;
@@ -117,10 +141,11 @@
     program.lostGrants.clear();
     program.holding.grant(change.tokens);
     updateUnrecorded(program); // Tokens granted while the write was in progress are not in it.
+    dropRecordedEntries(program);
     program.changed.notify();
 }
 
-auto ProgramTable::adoptRow(Program& program, const store::Row* row) const -> void
+auto ProgramTable::adoptRow(Program& program, const store::Row* row) -> void
 {
     const auto version = row == nullptr || row->isRemoved ? store::s_absentRow : row->version;
     if (program.releasedTokens > 0 && version == program.rowVersion) {
@@ -153,6 +178,75 @@
     updateUnrecorded(program);
     program.rowVersion = version;
     program.isRowKnown = true;
+    dropRecordedEntries(program);
+}
+
+auto ProgramTable::prepareGrantRow(const ProgramKey& key, Program& program, std::uint32_t partition) -> GrantRow
+{
+    auto grant = GrantRow{.key = key,
+                          .budget = program.budget,
+                          .holding = {},
+                          .writtenAt = static_cast<std::uint64_t>(framework::unixMilliseconds(m_clock.wallTime())),
+                          .address = {}};
+    grant.holding.set_host(m_host);
+    grant.holding.set_incarnation(m_incarnation);
+    setBalance(program, program.holding.balance(), grant.holding);
+    grant.address = grantRowAddress(key, grant.holding, partition);
+    return grant;
+}
+
+auto ProgramTable::onGrantRowWritten(Program& program, const GrantRow& grant) -> void
+{
+    program.ownElsewhere.add(grant);
+}
+
+auto ProgramTable::areGrantsStored(const Program& program) const -> bool
+{
+    const auto isInOther = !program.ownElsewhere.rows.empty() && balanceOf(program.ownElsewhere.holding) >= program.holding.balance();
+    return program.unrecordedTokens == 0 || isInOther;
+}
+
+auto ProgramTable::addEntryElsewhere(const GrantRow& grant) -> void
+{
+    if (isOwn(grant.holding)) {
+        return;
+    }
+    const auto found = program(grant.key);
+    if (grant.budget > 0) {
+        limitBudget(*found, grant.budget);
+    }
+    found->entriesElsewhere[grant.holding.incarnation()].add(grant);
+    dropRecordedEntries(*found);
+}
+
+auto ProgramTable::dropRecordedEntries(Program& program) -> void
+{
+    const auto isRecorded = [&program](const EntryElsewhere& elsewhere) {
+        const auto* entry = entryOf(program.row, elsewhere.holding);
+        return entry != nullptr && entry->write() >= elsewhere.holding.write();
+    };
+    const auto drop = [this](EntryElsewhere& elsewhere) {
+        std::ranges::move(elsewhere.rows, std::back_inserter(m_dispensableRows));
+        elsewhere = {};
+    };
+    for (auto& [incarnation, elsewhere] : program.entriesElsewhere) {
+        if (isRecorded(elsewhere)) {
+            drop(elsewhere);
+        }
+    }
+    std::erase_if(program.entriesElsewhere, [](const auto& entry) { return entry.second.rows.empty(); });
+    if (!program.ownElsewhere.rows.empty() && isRecorded(program.ownElsewhere)) {
+        drop(program.ownElsewhere);
+    }
+}
+
+auto ProgramTable::setBalance(Program& program, std::int64_t balance, records::Holding& entry) -> void
+{
+    entry.set_granted(static_cast<std::uint64_t>(std::max<std::int64_t>(balance, 0)));
+    entry.set_returned(static_cast<std::uint64_t>(std::max<std::int64_t>(-balance, 0)));
+    entry.set_spent(program.holding.spent());
+    entry.set_write(++m_writes);
+    program.firstWrite = program.firstWrite == 0 ? m_writes : program.firstWrite;
 }
 
 auto ProgramTable::onOutcomeUnknown(Program& program, const RowChange& change) const -> void
@@ -204,14 +298,15 @@
 
 auto ProgramTable::hasEntry(const Program& program, std::uint64_t incarnation) -> bool
 {
-    return std::ranges::any_of(program.row.holdings(), [incarnation](const auto& holding) { return holding.incarnation() == incarnation; });
+    return program.entriesElsewhere.contains(incarnation) ||
+           std::ranges::any_of(program.row.holdings(), [incarnation](const auto& holding) { return holding.incarnation() == incarnation; });
 }
 
 auto ProgramTable::withUnrecordedTokens() const -> std::vector<std::pair<ProgramKey, ProgramPtr>>
 {
     auto found = std::vector<std::pair<ProgramKey, ProgramPtr>>();
     for (const auto& [key, program] : m_programs) {
-        if (program->unrecordedTokens > 0 && !program->isRowBeingWritten) {
+        if ((program->unrecordedTokens > 0 || !program->entriesElsewhere.empty()) && !program->isRowBeingWritten) {
             found.emplace_back(key, program);
         }
     }
@@ -228,7 +323,7 @@
     std::erase_if(m_programs, [this](const auto& entry) {
         const auto& program = *entry.second;
         return program.usedAt + s_idleTimeout < m_clock.now() && program.holding.reserved() == 0 && program.unrecordedTokens == 0 &&
-               !program.isRowBeingWritten;
+               !program.isRowBeingWritten && program.entriesElsewhere.empty();
     });
 }
 
--- a/src/programs/programtable.h
+++ b/src/programs/programtable.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/iclock.h"
 #include "framework/global/signal.h"
+#include "programs/grantrows.h"
 #include "programs/tokenholding.h"
 #include "programs/turn.h"
 #include "programs/turnrecords.pb.h"
@@ -10,6 +11,8 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace laburnummill::programs {
 
@@ -44,6 +47,10 @@
     std::set<std::string> advanceHolders; ///< addresses of hosts that may hold tokens of this host, the home
     /// Tokens that hosts may have granted without the store before they lost their state, by incarnation; the row is to contain them.
     std::map<std::uint64_t, std::uint64_t> lostGrants;
+    /// Entries of other incarnations that are not known to be in the row, by incarnation.
+    std::map<std::uint64_t, EntryElsewhere> entriesElsewhere;
+    EntryElsewhere ownElsewhere; ///< the entry of this host that its own row may not contain; without rows if there is none
+    bool isContinued = false;    ///< a turn has continued another one of the program, which therefore has used tokens
     framework::Instant usedAt{};
     framework::Signal changed;
 };
@@ -87,21 +94,38 @@
     auto prepareChange(const ProgramKey& key, Program& program, std::uint64_t tokens) -> RowChange;
 
     /// Updates the program after the write was applied with `version`.
-    auto onApplied(Program& program, RowChange change, std::uint64_t version) const -> void;
+    auto onApplied(Program& program, RowChange change, std::uint64_t version) -> void;
 
     /// Replaces the program's row by `row`, as found in the store; null if there is none.
-    auto adoptRow(Program& program, const store::Row* row) const -> void;
+    auto adoptRow(Program& program, const store::Row* row) -> void;
 
     /// Notes that the write may or may not have been applied.
     auto onOutcomeUnknown(Program& program, const RowChange& change) const -> void;
 
+    /// Builds a row for another partition with all that this host has granted.
+    auto prepareGrantRow(const ProgramKey& key, Program& program, std::uint32_t partition) -> GrantRow;
+
+    /// Notes that the row was written.
+    static auto onGrantRowWritten(Program& program, const GrantRow& grant) -> void;
+
+    /// Whether the row of the program or one in another partition has all that this host has granted.
+    auto areGrantsStored(const Program& program) const -> bool;
+
+    /// Takes over an entry of another incarnation that was found in another partition.
+    auto addEntryElsewhere(const GrantRow& grant) -> void;
+
+    /// Rows in other partitions that the rows of their programs have made dispensable; they are returned once.
+    auto takeDispensableRows() -> std::vector<store::RowAddress> { return std::exchange(m_dispensableRows, {}); }
+
+    auto addDispensableRow(store::RowAddress row) -> void { m_dispensableRows.push_back(std::move(row)); }
+
     /// Whether the row has entries of other hosts.
     auto hasOtherHolders(const Program& program) const -> bool;
 
-    /// Whether the program's row has an entry of this incarnation of a host.
+    /// Whether the program's row, or one in another partition, has an entry of this incarnation of a host.
     static auto hasEntry(const Program& program, std::uint64_t incarnation) -> bool;
 
-    /// Programs with granted tokens that are not in their rows.
+    /// Programs with tokens that are not in their rows: granted by this host, or known from rows in other partitions.
     auto withUnrecordedTokens() const -> std::vector<std::pair<ProgramKey, ProgramPtr>>;
 
     /// Whether there are such programs, including those whose rows are being written.
@@ -120,6 +144,10 @@
     /// The value of this host's entry; negative if it has given back tokens of other hosts' entries.
     auto ownEntry(const records::ProgramRecord& row) const -> std::int64_t;
     auto updateUnrecorded(Program& program) const -> void;
+    /// Sets the value of this host's entry, and numbers the write.
+    auto setBalance(Program& program, std::int64_t balance, records::Holding& entry) -> void;
+    /// Sorts out what the row contains of the entries in other partitions.
+    auto dropRecordedEntries(Program& program) -> void;
     /// Whether this host's entry in `row` was written since the program was added to the table.
     auto isEntryCurrent(const Program& program, const records::ProgramRecord& row) const -> bool;
     auto isOwn(const records::Holding& holding) const -> bool;
@@ -130,6 +158,7 @@
     std::uint64_t m_incarnation;
     std::map<ProgramKey, ProgramPtr> m_programs;
     std::uint64_t m_writes = 0; ///< of rows, so far
+    std::vector<store::RowAddress> m_dispensableRows;
 };
 
 } // namespace laburnummill::programs
--- a/src/programs/tests/commitpolicytest.cpp
+++ b/src/programs/tests/commitpolicytest.cpp
@@ -14,6 +14,7 @@
     CommitPace pace;
     CommitView view{.store = StoreState::Prompt,
                     .outage = OutageScope::Undecided,
+                    .isAwayAlone = false,
                     .history = TurnHistory::KeptByHosts,
                     .isRejected = false,
                     .endBy = endBy};
@@ -49,6 +50,20 @@
     }
 }
 
+// Guards against the loss of review/11: one partition that was away by itself counted as an outage of the whole store.
+TEST(CommitPolicy, memoryNeverStandsInForAStoreThatAnswersForOtherPartitions)
+{
+    view.store = StoreState::Away;
+    view.isAwayAlone = true;
+    for (const auto scope : {OutageScope::Undecided, OutageScope::Fleet, OutageScope::CutOff}) {
+        view.outage = scope;
+        CHECK_TRUE(nextCommitStep(view, now) == CommitStep::StoreElsewhere);
+        CHECK_TRUE(nextCommitStep(view, view.endBy) == CommitStep::GiveUp);
+    }
+    view.isRejected = true;
+    CHECK_TRUE(nextCommitStep(view, now) == CommitStep::GiveUp);
+}
+
 TEST(CommitPolicy, aTurnThatTheStoreRejectsIsNotCalledWhole)
 {
     view.isRejected = true;
@@ -65,6 +80,7 @@
     CHECK_TRUE(nextCommitStep(view, now) == CommitStep::Replicate);
     view = {.store = StoreState::Prompt,
             .outage = OutageScope::Undecided,
+            .isAwayAlone = false,
             .history = TurnHistory::SentByCaller,
             .isRejected = true,
             .endBy = endBy};
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -2,7 +2,9 @@
 
 #include "framework/global/manualclock.h"
 #include "framework/global/systemclock.h"
+#include "programs/budgetledger.h"
 #include "programs/fleetmembership.h"
+#include "programs/storepartitions.h"
 #include "programs/tests/limitedstore.h"
 #include "programs/turnjournal.h"
 #include "store/groupedstore.h"
@@ -120,16 +122,22 @@
         , store(shared)
         , health(clock)
         , grouped(context.get_executor(), store, health, peers, clock, metrics)
-        , probe(context.get_executor(), store, way, health, clock, [this] { grouped.onReturn(); })
+        , probe(context.get_executor(), store, way, health, clock, storePartitions(), [this] { grouped.onReturn(); })
         , table(context.get_executor(), clock, std::to_string(number), incarnation)
         , hosts(grouped, clock,
                 {.host = "host-" + std::to_string(number), .address = std::to_string(number), .incarnation = incarnation, .dataCentre = {}})
         , journal(context.get_executor(), table, grouped, grouped, peers, outage, hosts, clock,
                   {.cacheBytes = 64 * 1024 * 1024, .unstoredBytes = s_unstoredBytes})
+        , ledger(context.get_executor(), table, grouped, grouped, peers, clock)
     {
         probe.start();
+        if (incarnation > s_firstIncarnation) {
+            ledger.alternateGrants().expectEarlierGrants();
+        }
     }
 
+    static constexpr auto s_firstIncarnation = std::uint64_t{1};
+
     std::uint64_t incarnation;
     bool isUp = true;
     std::size_t cutGroup = 0; ///< hosts reach those of the same group; 0: not cut off
@@ -144,6 +152,7 @@
     ProgramTable table;
     HostRegister hosts;
     TurnJournal journal;
+    BudgetLedger ledger;
 };
 
 class JournalFleet
@@ -336,6 +345,9 @@
         response.set_version(reply ? reply.value().version : 0);
         co_return response;
     }
+    if (request.has_grant_query()) {
+        co_return co_await host.ledger.answer(request.grant_query(), 0);
+    }
     if (request.has_kept_turns()) {
         const auto& kept = request.kept_turns();
         response.set_is_copy_declined(
--- a/src/programs/tests/limitedstore.h
+++ b/src/programs/tests/limitedstore.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace laburnummill::programs::testing {
@@ -28,14 +29,14 @@
 
     auto transact(store::Transaction transaction) -> AsyncResult<store::TransactionReply> override
     {
-        if (isAway) {
+        if (isAway || awayPartitions.contains(store::partitionOf(transaction))) {
             co_return store::StoreError::Unavailable;
         }
         auto atOnce = std::size_t{0};
         std::ranges::for_each(transaction.puts, [&atOnce](const auto& put) { atOnce += put.value.size() * 4 / 3; });
         m_bytesAtOnce += atOnce;
         mostBytesAtOnce = std::max(mostBytesAtOnce, m_bytesAtOnce);
-        const auto isTaken = co_await takeTurn(transaction.puts.front().address.partition);
+        const auto isTaken = co_await takeTurn(store::partitionOf(transaction));
         m_bytesAtOnce -= atOnce;
         if (!isTaken) {
             ++overloads;
@@ -64,6 +65,7 @@
             for (const auto& put : transaction.puts) {
                 rows[put.address] = {.address = put.address, .value = put.value, .version = version};
             }
+            std::ranges::for_each(transaction.removals, [this](const auto& address) { rows.erase(address); });
         }
         co_await pause(answerTime);
         co_return reply;
@@ -71,7 +73,7 @@
 
     auto list(store::ListRequest request) -> AsyncResult<store::RowPage> override
     {
-        if (isAway) {
+        if (isAway || awayPartitions.contains(request.partition)) {
             co_return store::StoreError::Unavailable;
         }
         co_await pause(answerTime);
@@ -102,11 +104,24 @@
         return std::ranges::any_of(rows, [&id](const auto& row) { return row.first.table == "turns" && row.first.key == id; });
     }
 
+    /// The partitions with rows of turns of this id.
+    auto partitionsWithTurn(const std::string& id) const -> std::set<std::string>
+    {
+        auto partitions = std::set<std::string>();
+        for (const auto& [address, row] : rows) {
+            if (address.table == "turns" && address.key == id) {
+                partitions.insert(address.partition);
+            }
+        }
+        return partitions;
+    }
+
     bool isAway = false;
-    Milliseconds transactionTime{0}; ///< of one transaction; those of a partition wait for each other
-    Milliseconds answerTime{0};      ///< from the end of a call to its answer
-    int overloads = 0;               ///< transactions refused because of those that wait
-    std::size_t mostBytesAtOnce = 0; ///< of the transactions that were under way at the same time
+    std::set<std::string> awayPartitions; ///< that refuse all calls
+    Milliseconds transactionTime{0};      ///< of one transaction; those of a partition wait for each other
+    Milliseconds answerTime{0};           ///< from the end of a call to its answer
+    int overloads = 0;                    ///< transactions refused because of those that wait
+    std::size_t mostBytesAtOnce = 0;      ///< of the transactions that were under way at the same time
     std::function<bool(const store::Put&)> rejects = [](const store::Put&) { return false; };
     int rejections = 0;
     std::uint64_t version = 0;
--- a/src/programs/turn.h
+++ b/src/programs/turn.h
@@ -41,6 +41,7 @@
     std::uint64_t maxTokens = 0; ///< maximum number of tokens that the turn generates
     /// The turn has no predecessor in the program. If the history is sent by the caller, turns do not tell, and this is false.
     bool isFirstTurn = false;
+    bool continuesProgram = false; ///< the turn continues one of the same program
     TurnHistory history = TurnHistory::KeptByHosts;
     framework::Instant endBy{}; ///< until when the turn may wait for a slow store; the epoch if its host asks again
 };
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -56,7 +56,7 @@
     const auto write = std::make_shared<PendingWrite>(m_executor);
     write->turn = turn;
     write->record = encodeTurn(*turn);
-    write->rows = rowsOf(*turn, write->record, m_rowBytes);
+    write->rows = rowsOf(*turn, write->record, m_rowBytes, partitionOfTurn(*turn));
     if (write->rows.parts.empty()) {
         write->rows.head.value = {}; // The record is its value.
     }
@@ -84,6 +84,12 @@
                 co_return CommitOutcome::NotStored;
             }
         }
+        if (step == CommitStep::StoreElsewhere) {
+            startStoringElsewhere(write);
+        }
+        if (write->isStoredElsewhere) {
+            co_return CommitOutcome::StoredElsewhere;
+        }
         co_await awaitChange(write, s_commitPoll);
     }
     m_commitPace.record(stateFor(partitionOfTurn(*turn)), std::chrono::duration_cast<Milliseconds>(m_clock.now() - write->since));
@@ -99,9 +105,8 @@
 
 auto TurnJournal::isCutOff(const ProgramKey& program) const -> bool
 {
-    const auto partition = programs::partitionOf(program);
-    const auto state = stateFor(partition);
-    return state == store::StoreState::Away && mustBeServedElsewhere(state, outageFor(partition));
+    const auto state = stateFor(programs::partitionOf(program));
+    return state == store::StoreState::Away && mustBeServedElsewhere(state, m_outage.outageScope());
 }
 
 auto TurnJournal::canCommitBy(const ProgramKey& program, Instant endBy) const -> bool
@@ -113,8 +118,13 @@
 {
     const auto partition = partitionOfTurn(*write.turn);
     const auto state = stateFor(partition);
-    const auto outage = state == store::StoreState::Away ? outageFor(partition) : OutageScope::Undecided;
-    return nextCommitStep({.store = state, .outage = outage, .history = write.history, .isRejected = write.rejections > 0, .endBy = endBy},
+    const auto outage = state == store::StoreState::Away ? m_outage.outageScope() : OutageScope::Undecided;
+    return nextCommitStep({.store = state,
+                           .outage = outage,
+                           .isAwayAlone = isAwayAlone(partition),
+                           .history = write.history,
+                           .isRejected = write.rejections > 0,
+                           .endBy = endBy},
                           m_clock.now());
 }
 
@@ -123,9 +133,9 @@
     return m_storeStatus.state(partitionName(partition));
 }
 
-auto TurnJournal::outageFor(std::uint32_t partition) const -> OutageScope
+auto TurnJournal::isAwayAlone(std::uint32_t partition) const -> bool
 {
-    return m_storeStatus.isAwayAlone(partitionName(partition)) ? OutageScope::Fleet : m_outage.outageScope();
+    return m_storeStatus.isAwayAlone(partitionName(partition));
 }
 
 auto TurnJournal::enqueue(PendingWritePtr write) -> void
@@ -138,18 +148,6 @@
     }
 }
 
-auto TurnJournal::storeRecord(const Turn& turn, const std::string& record) -> AsyncResult<void>
-{
-    const auto rows = rowsOf(turn, record, m_rowBytes);
-    auto transactions = transactionsOf(rows.parts);
-    transactions.emplace_back().puts.push_back(rows.head);
-    for (auto& transaction : transactions) {
-        BOOST_OUTCOME_CO_TRY(const auto reply, co_await m_store.transact(std::move(transaction)));
-        static_cast<void>(reply); // Rows of turns have no conditions.
-    }
-    co_return framework::success();
-}
-
 auto TurnJournal::notifyHome(const ProgramKey& key, TurnPtr turn, std::uint64_t returnedTokens) -> void
 {
     auto home = m_peers.home(key.program);
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -25,14 +25,16 @@
 /// How a turn was stored when its answer was completed.
 enum class CommitOutcome
 {
-    Stored,     ///< in the store
-    Replicated, ///< in memory on this and other hosts; written once the store is available
-    LocalOnly,  ///< in memory on this host only; no turn whose history the hosts keep ends so
-    NotStored,  ///< the store has not accepted it in time
+    Stored,          ///< in the store
+    StoredElsewhere, ///< in the store, in another partition than that of its program
+    Replicated,      ///< in memory on this and other hosts; written once the store is available
+    LocalOnly,       ///< in memory on this host only; no turn whose history the hosts keep ends so
+    NotStored,       ///< the store has not accepted it in time
 };
 
-inline constexpr auto s_commitOutcomeNames = framework::NameTable<CommitOutcome, 4>{{
+inline constexpr auto s_commitOutcomeNames = framework::NameTable<CommitOutcome, 5>{{
     {CommitOutcome::Stored, "stored"},
+    {CommitOutcome::StoredElsewhere, "elsewhere"},
     {CommitOutcome::Replicated, "kept"},
     {CommitOutcome::LocalOnly, "alone"},
     {CommitOutcome::NotStored, "not_stored"},
@@ -53,8 +55,8 @@
     bool isCertain = true; ///< whether a null `turn` means that there is no such turn
 };
 
-/// Stores turns as rows in the partition of their program; during a store outage replicates them to other hosts. A turn that the store
-/// rejects does not delay others.
+/// Stores turns as rows in the partition of their program; while that partition is away, in another one; during an outage of the whole
+/// store replicates them to other hosts. A turn that the store rejects does not delay others.
 class TurnJournal
 {
 public:
@@ -136,6 +138,8 @@
         int rejections = 0;
         bool isCounted = false;  ///< among the unwritten turns
         bool isReleased = false; ///< stored or abandoned
+        bool isStoredElsewhere = false;
+        bool isBeingStoredElsewhere = false;
         int openReplications = 0;
         int replicas = 0;
         std::size_t heldBytes = 0; ///< of the turn, its record and its rows
@@ -178,6 +182,13 @@
         std::size_t bytes = 0; ///< of rows of turns
     };
 
+    /// What the partitions that stand in for a turn's own have of it.
+    struct AlternateSearch
+    {
+        TurnPtr turn;
+        bool isComplete = true; ///< all of them have answered
+    };
+
     /// What the other hosts answered to a query for a turn.
     struct PeerSearch
     {
@@ -199,10 +210,20 @@
     auto nextStep(const PendingWrite& write, framework::Instant endBy) const -> CommitStep;
     auto awaitChange(const PendingWritePtr& write, framework::Milliseconds timeout) -> framework::Async<void>;
     auto stateFor(std::uint32_t partition) const -> store::StoreState;
-    /// Which hosts are concerned if the store is away for a partition.
-    auto outageFor(std::uint32_t partition) const -> OutageScope;
-    /// Writes all rows of a turn.
-    auto storeRecord(const Turn& turn, const std::string& record) -> framework::AsyncResult<void>;
+    auto isAwayAlone(std::uint32_t partition) const -> bool;
+    /// The same, once calls to other partitions have told whether the store answers these.
+    auto isFoundAwayAlone(std::uint32_t partition) -> framework::Async<bool>;
+    /// Writes all rows of a turn; those of `further` together with the last one.
+    auto storeRecord(const Turn& turn, const std::string& record, std::uint32_t partition, std::vector<store::Put> further = {})
+        -> framework::AsyncResult<void>;
+    /// Writes a turn to another partition than its own, with what this host has granted of its program.
+    auto storeElsewhere(TurnPtr turn, std::shared_ptr<const std::string> record) -> framework::Async<bool>;
+    auto startStoringElsewhere(const PendingWritePtr& write) -> void;
+    auto onStoredElsewhere(const PendingWritePtr& write) -> void;
+    /// Writes turns that are in memory only to other partitions, once theirs are away by themselves.
+    auto storeWaitingElsewhere() -> framework::Async<void>;
+    /// Writes a turn that was found in another partition to its own.
+    auto moveToOwnPartition(const TurnPtr& turn) -> void;
     /// Replicates a turn that the store has not accepted yet, and waits for that or for the store.
     auto keepUnstored(PendingWritePtr write) -> framework::Async<CommitOutcome>;
     auto replicate(const PendingWritePtr& write) -> void;
@@ -224,7 +245,8 @@
     auto handleReply(Batch batch, const framework::Result<store::TransactionReply>& reply) -> bool;
     auto readRow(std::string id, std::uint32_t partition) -> framework::AsyncResult<TurnPtr>;
     auto readParts(std::string id, std::uint32_t partition, DividedTurnHead head) -> framework::AsyncResult<TurnPtr>;
-    auto readFromAnyPartition(std::string id, std::uint32_t likelyPartition) -> framework::AsyncResult<TurnPtr>;
+    /// Reads from up to `most` of the partitions that stand in for a turn's own.
+    auto readFromAlternates(std::string id, std::uint32_t partition, std::size_t most) -> framework::Async<AlternateSearch>;
     auto findAncestor(Ancestor ancestor) -> framework::Async<TurnPtr>;
     auto cacheTurns(const peers::messages::Response& response) -> void;
     auto queryHome(std::string program, std::vector<std::string> ids) -> framework::Async<void>;
--- a/src/programs/turnreplication.cpp
+++ b/src/programs/turnreplication.cpp
@@ -102,6 +102,7 @@
 
 auto TurnJournal::keepReplicas() -> Async<void>
 {
+    co_await storeWaitingElsewhere();
     replicateAgain();
     const auto hasWritten = [this](const HeldReplica& replica) {
         return m_peers.hasWrittenAllTurns(replica.origin, replica.originIncarnation);
@@ -113,11 +114,18 @@
         if (replica == nullptr) {
             continue;
         }
-        if (m_isStopping && stateFor(programs::partitionOf(replica->program)) == store::StoreState::Away) {
+        const auto partition = programs::partitionOf(replica->program);
+        const auto record = replica->record;
+        const auto turn = decodeTurn(record);
+        if (isAwayAlone(partition) && co_await storeElsewhere(turn, std::make_shared<const std::string>(record))) {
+            m_replicas.erase(id);
+            m_unstored.setCopies(m_replicas.bytes());
+            continue;
+        }
+        if (m_isStopping && stateFor(partition) == store::StoreState::Away) {
             co_return co_await handOver();
         }
-        const auto record = replica->record;
-        const auto stored = co_await storeRecord(*decodeTurn(record), record);
+        const auto stored = co_await storeRecord(*turn, record, partition);
         if (stored) {
             m_replicas.erase(id);
             m_unstored.setCopies(m_replicas.bytes());
--- a/src/programs/turnrows.cpp
+++ b/src/programs/turnrows.cpp
@@ -36,9 +36,8 @@
     return id.size() <= s_maxIdBytes && std::ranges::all_of(id, isPrintable);
 }
 
-auto rowsOf(const Turn& turn, const std::string& record, std::size_t rowBytes) -> TurnRows
+auto rowsOf(const Turn& turn, const std::string& record, std::size_t rowBytes, std::uint32_t partition) -> TurnRows
 {
-    const auto partition = partitionOf(ProgramKey{.account = turn.account, .program = turn.program});
     const auto usable = std::max<std::size_t>(static_cast<std::size_t>(static_cast<double>(rowBytes) * s_usableRowShare), 1);
     if (record.size() <= usable) {
         return {.parts = {}, .head = {.address = turnRow(turn.id, partition), .value = record}};
--- a/src/programs/turnrows.h
+++ b/src/programs/turnrows.h
@@ -26,8 +26,9 @@
     store::Put head;
 };
 
-/// `record`: the turn's encoded TurnRecord. `rowBytes`: the most that the store accepts as a row's value.
-auto rowsOf(const Turn& turn, const std::string& record, std::size_t rowBytes) -> TurnRows;
+/// `record`: the turn's encoded TurnRecord. `rowBytes`: the most that the store accepts as a row's value. `partition`: where they are to be
+/// written.
+auto rowsOf(const Turn& turn, const std::string& record, std::size_t rowBytes, std::uint32_t partition) -> TurnRows;
 
 /// A turn's row that refers to parts.
 struct DividedTurnHead
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -1,6 +1,7 @@
 #include "framework/global/tasks.h"
 #include "framework/logging/log.h"
 #include "peers/callall.h"
+#include "programs/staggeredattempts.h"
 #include "programs/turnjournal.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -29,6 +30,15 @@
 /// How long a search waits for a store that answers, and further after the other hosts were queried.
 constexpr auto s_searchTimeout = Milliseconds(600);
 
+/// How long a search goes on in the partitions that stand in for a turn's own.
+constexpr auto s_alternatesTimeout = Milliseconds(1'500);
+
+/// How long a host that has heard nothing of other partitions waits for that: until they have been sampled.
+constexpr auto s_verdictTimeout = Milliseconds(600);
+
+/// Of these, those that are read before the other hosts are asked: the writer has used the first one that answered.
+constexpr auto s_likelyAlternates = std::size_t{3};
+
 /// A key that sorts directly after `key` among those in use, in byte order.
 auto keyAfter(const std::string& key) -> std::string
 {
@@ -70,16 +80,25 @@
     co_return joinParts(head, parts);
 }
 
-auto TurnJournal::readFromAnyPartition(std::string id, std::uint32_t likelyPartition) -> AsyncResult<TurnPtr>
+auto TurnJournal::readFromAlternates(std::string id, std::uint32_t partition, std::size_t most) -> Async<AlternateSearch>
 {
-    // A new program may continue a turn of another program, whose partition is not in the request.
-    for (auto offset = std::uint32_t{0}; offset < s_partitionCount; ++offset) {
-        BOOST_OUTCOME_CO_TRY(auto turn, co_await readRow(id, (likelyPartition + offset) % s_partitionCount));
-        if (turn) {
-            co_return turn;
-        }
-    }
-    co_return TurnPtr();
+    struct Found
+    {
+        TurnPtr turn;
+        bool hasFailed = false; ///< to read from some partition
+    };
+    const auto found = std::make_shared<Found>();
+    const auto read = [this, id, found](std::uint32_t alternate) -> Async<bool> {
+        const auto row = co_await readRow(id, alternate);
+        found->hasFailed = found->hasFailed || !row;
+        found->turn = row && row.value() ? row.value() : found->turn;
+        co_return row&& row.value() != nullptr;
+    };
+    auto alternates = answeringAlternates(partition, m_storeStatus);
+    alternates.resize(std::min(alternates.size(), most));
+    const auto areAll = alternates.size() == alternatesOf(partition).size();
+    const auto result = co_await attemptInTurn(m_executor, std::move(alternates), read, s_stagger, s_alternatesTimeout);
+    co_return AlternateSearch{.turn = found->turn, .isComplete = areAll && result.haveAllEnded && !found->hasFailed};
 }
 
 auto TurnJournal::findLocal(std::string_view id) -> TurnPtr
@@ -108,6 +127,12 @@
     if (read->turn) {
         co_return TurnSearch{.turn = read->turn, .isCertain = true};
     }
+    if (isAwayAlone(likelyPartition)) {
+        const auto likely = co_await readFromAlternates(id, likelyPartition, s_likelyAlternates);
+        if (likely.turn) {
+            co_return TurnSearch{.turn = likely.turn, .isCertain = true};
+        }
+    }
     auto others = co_await queryPeers(id);
     if (others.turn) {
         co_return TurnSearch{.turn = std::move(others.turn), .isCertain = true};
@@ -115,10 +140,18 @@
     if (!read->hasEnded) {
         co_await read->ended.wait(s_searchTimeout);
     }
-    if (read->turn || !read->isAnswered) {
+    if (read->turn || (!read->isAnswered && !co_await isFoundAwayAlone(likelyPartition))) {
         co_return TurnSearch{.turn = read->turn, .isCertain = false};
     }
-    const auto row = co_await readFromAnyPartition(id, likelyPartition);
+    // A new program may continue a turn of another program, whose partition is not in the request.
+    const auto elsewhere = co_await readFromAlternates(id, likelyPartition, s_partitionCount);
+    if (elsewhere.turn && read->isAnswered && partitionOfTurn(*elsewhere.turn) == likelyPartition) {
+        moveToOwnPartition(elsewhere.turn);
+    }
+    if (elsewhere.turn || !read->isAnswered || !elsewhere.isComplete) {
+        co_return TurnSearch{.turn = elsewhere.turn, .isCertain = false};
+    }
+    const auto row = co_await readRow(id, likelyPartition); // It may have been written meanwhile.
     if (!row || row.value()) {
         co_return TurnSearch{.turn = row ? row.value() : nullptr, .isCertain = false};
     }
@@ -167,6 +200,19 @@
     co_return read;
 }
 
+auto TurnJournal::isFoundAwayAlone(std::uint32_t partition) -> Async<bool>
+{
+    auto timer = asio::steady_timer(m_executor);
+    for (const auto until = m_clock.now() + s_verdictTimeout; !isAwayAlone(partition) && m_clock.now() < until;) {
+        if (stateFor(partition) != store::StoreState::Away || m_outage.outageScope() != OutageScope::Undecided) {
+            break;
+        }
+        timer.expires_after(s_storePollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return isAwayAlone(partition);
+}
+
 auto TurnJournal::queryHome(std::string program, std::vector<std::string> ids) -> Async<void>
 {
     const auto home = m_peers.home(program);
@@ -217,6 +263,12 @@
     if (read->turn) {
         co_return read->turn;
     }
+    if (isAwayAlone(ancestor.partition)) {
+        const auto likely = co_await readFromAlternates(ancestor.id, ancestor.partition, s_likelyAlternates);
+        if (likely.turn) {
+            co_return likely.turn;
+        }
+    }
     const auto others = co_await queryPeers(ancestor.id);
     if (others.turn) {
         co_return others.turn;
@@ -224,7 +276,14 @@
     if (!read->hasEnded) {
         co_await read->ended.wait(s_searchTimeout);
     }
-    co_return read->turn;
+    if (read->turn || (!read->isAnswered && !co_await isFoundAwayAlone(ancestor.partition))) {
+        co_return read->turn;
+    }
+    const auto elsewhere = co_await readFromAlternates(ancestor.id, ancestor.partition, s_partitionCount);
+    if (elsewhere.turn && read->isAnswered) {
+        moveToOwnPartition(elsewhere.turn);
+    }
+    co_return elsewhere.turn;
 }
 
 auto TurnJournal::findAncestors(TurnPtr turn) -> Async<std::optional<std::vector<TurnPtr>>>
--- a/src/programs/turnwriting.cpp
+++ b/src/programs/turnwriting.cpp
@@ -246,6 +246,11 @@
 {
     auto& waiting = m_partitionQueues[partitionOfTurn(*batch.writes.front()->turn)].waiting;
     waiting.insert(waiting.begin(), batch.writes.begin(), batch.writes.end());
+    for (const auto& write : batch.writes) {
+        if (write->isStoredElsewhere) {
+            onStoredElsewhere(write); // It may have been stored while it was not in the queue.
+        }
+    }
 }
 
 auto TurnJournal::release(const PendingWritePtr& write) -> void
--- a/src/programs/unstoredmemory.h
+++ b/src/programs/unstoredmemory.h
@@ -25,6 +25,9 @@
     /// Whether no further turn may begin.
     auto isFull() const -> bool { return held() > m_limit; }
 
+    /// Whether so much is held that turns which the store has in another partition are not to be held for their own.
+    auto isScarce() const -> bool { return held() > m_limit / 2; }
+
     /// Whether a copy of another host's turn may be taken. Turns that are running when the limit is reached still need copies.
     auto mayTakeCopy(std::size_t bytes) const -> bool;
 
--- a/src/serving/entryhost.cpp
+++ b/src/serving/entryhost.cpp
@@ -111,7 +111,7 @@
     , m_routedStore(external.store, external.patientStore != nullptr ? *external.patientStore : external.store, m_storeHealth, m_link,
                     m_clock)
     , m_store(context.get_executor(), m_routedStore, m_storeHealth, m_link, m_responsiveClock, m_metrics)
-    , m_returnProbe(context.get_executor(), external.store, m_routedStore.directWay(), m_storeHealth, m_clock,
+    , m_returnProbe(context.get_executor(), external.store, m_routedStore.directWay(), m_storeHealth, m_clock, programs::storePartitions(),
                     [this] { m_store.onReturn(); })
     , m_programs(context.get_executor(), m_clock, m_settings.host, m_incarnation)
     , m_register(
@@ -159,7 +159,11 @@
           context.get_executor(), peers::parseEndpoint(m_settings.readyAddress).value(), "readiness",
           [this](std::string_view) { return StatusResponse{.status = isReady() ? 200U : 503U, .contentType = "text/plain", .body = {}}; })
 {
+    if (!m_settings.isFirstStart) {
+        m_budgets.alternateGrants().expectEarlierGrants();
+    }
     m_shared.store = &m_routedStore;
+    m_shared.storeHealth = &m_storeHealth;
     m_shared.groupedStore = &m_store;
     m_shared.journal = &m_journal;
     m_shared.budgets = &m_budgets;
@@ -262,6 +266,7 @@
     }
     m_limitsVersion = routes->version();
     m_journal.setRetention(turnRetention(routes->configuration()));
+    m_budgets.alternateGrants().setRetention(m_journal.retention());
     auto names = std::set<std::string>();
     for (const auto& account : routes->configuration().accounts) {
         names.insert(account.name);
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -94,7 +94,7 @@
 
 auto FleetLink::isIsolated() const -> bool
 {
-    if (m_state.store->directWay().isSound()) {
+    if (m_state.store->directWay().isSound(m_clock.now())) {
         return false;
     }
     const auto now = m_clock.now();
@@ -106,7 +106,7 @@
 
 auto FleetLink::isCutOff() const -> bool
 {
-    return !m_state.store->directWay().isSound() && outageScope() == programs::OutageScope::CutOff;
+    return !m_state.store->directWay().isSound(m_clock.now()) && outageScope() == programs::OutageScope::CutOff;
 }
 
 auto FleetLink::heartbeatLoop() -> Async<void>
@@ -115,8 +115,10 @@
     while (!m_isStopped) {
         const auto now = m_clock.now();
         updateMembership();
-        const auto isUrgent =
-            m_announcedStore != m_state.store->directWay().isProven() || m_countUpdates.hasUrgentUpdate(m_state.limiter, now);
+        refreshAwayPartitions();
+        const auto isStoreChanged =
+            m_announcedStore != m_state.store->directWay().isProven(now) || m_announcedAwayPartitions != ownAwayPartitions();
+        const auto isUrgent = isStoreChanged || m_countUpdates.hasUrgentUpdate(m_state.limiter, now);
         if (m_pace.isDue(fleetSize(), isUrgent, now)) {
             m_pace.markSent(now);
             sendToAll();
@@ -146,8 +148,8 @@
 auto FleetLink::updateMembership() -> void
 {
     const auto& way = m_state.store->directWay();
-    m_membership.update(way.isProven(), m_clock.now());
-    if (way.isSound()) {
+    m_membership.update(way.isProven(m_clock.now()), m_clock.now());
+    if (way.isSound(m_clock.now())) {
         m_hasLoggedOutage = false;
         return;
     }
@@ -213,8 +215,10 @@
     heartbeat.set_has_ended(m_hasEnded);
     heartbeat.set_is_registered(m_isRegistered);
     heartbeat.set_lacks_servers(m_state.connector->isCutOff());
-    m_announcedStore = m_state.store->directWay().isProven();
+    m_announcedStore = m_state.store->directWay().isProven(m_clock.now());
     heartbeat.set_reaches_store(m_announcedStore);
+    m_announcedAwayPartitions = ownAwayPartitions();
+    heartbeat.set_away_partitions(m_announcedAwayPartitions);
     heartbeat.set_knows_fleet_outage(!m_announcedStore && m_membership.isRegisterKnown() && outageScope() == programs::OutageScope::Fleet);
     heartbeat.set_configuration_version(m_state.fleetState.routes() ? m_state.fleetState.routes()->version() : 0);
     heartbeat.set_operator_version(m_state.fleetState.operatorTable().newestRowVersion());
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -11,6 +11,7 @@
 #include "peers/peertransport.h"
 #include "programs/budgetledger.h"
 #include "programs/fleetmembership.h"
+#include "programs/storepartitions.h"
 #include "programs/turnjournal.h"
 #include "scheduling/connectionlimit.h"
 #include "scheduling/crashhistory.h"
@@ -44,6 +45,7 @@
     scheduling::ConnectionLimit connectionLimit;
     store::RoutedStore* store = nullptr;
     store::GroupedStore* groupedStore = nullptr;
+    store::StoreHealth* storeHealth = nullptr;
     programs::TurnJournal* journal = nullptr;
     programs::BudgetLedger* budgets = nullptr;
     ServerConnector* connector = nullptr;
@@ -154,6 +156,10 @@
     /// Hosts of the release before do not report grants: while one of them may have made some, it counts as an unreachable grantor.
     auto recordFormerReleaseOutage() -> void;
     auto addOutageGrants(peers::messages::Heartbeat& heartbeat) const -> void;
+    /// The partitions of the store that do not answer this host while others do.
+    auto ownAwayPartitions() const -> std::uint32_t;
+    /// Takes over which partitions of the store do not answer other hosts.
+    auto refreshAwayPartitions() -> void;
     auto receiveSpentPrograms(const peers::messages::Heartbeat& heartbeat) -> void;
     auto receiveCrashes(const peers::messages::Heartbeat& heartbeat) -> void;
     auto addStatedLoads(peers::messages::Heartbeat& heartbeat) const -> void;
@@ -175,6 +181,7 @@
     mutable framework::Instant m_outageJudgedAt{};
     programs::OutageScope m_loggedScope = programs::OutageScope::Undecided;
     bool m_hasLoggedOutage = false;
+    std::uint32_t m_announcedAwayPartitions = 0;
     bool m_announcedStore = true; ///< whether the last heartbeat said that the store is reached
     peers::PeerTransport m_port;
     peers::HeartbeatSchedule m_pace;
--- a/src/serving/fleetlinkreports.cpp
+++ b/src/serving/fleetlinkreports.cpp
@@ -98,6 +98,22 @@
     heartbeat.set_supported_grants(grants.supported.bits());
 }
 
+auto FleetLink::ownAwayPartitions() const -> std::uint32_t
+{
+    auto away = m_state.storeHealth->awayPartitions();
+    std::erase_if(away, [this](const std::string& partition) { return !m_state.storeHealth->isAwayAlone(partition); });
+    return programs::partitionSet(away);
+}
+
+auto FleetLink::refreshAwayPartitions() -> void
+{
+    auto away = std::uint32_t{0};
+    for (const auto* peer : reachablePeers()) {
+        away |= peer->last.reaches_store() ? peer->last.away_partitions() : 0;
+    }
+    m_state.storeHealth->setReportedAway(programs::partitionsIn(away));
+}
+
 auto FleetLink::outageReports(std::uint64_t programs) const -> peers::OutageReports
 {
     const auto now = m_clock.now();
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -183,6 +183,7 @@
     scheduling::BackendRequirements m_requirements;
     std::vector<backends::BackendPtr> m_probed; ///< servers that have just stated their load
     std::vector<programs::Ancestor> m_ancestors;
+    bool m_continuesProgram = false; ///< the turn continues one of the same program
     scheduling::Fingerprint m_fingerprint = 0;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
     std::uint64_t m_reservedTokens = 0;
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -113,6 +113,7 @@
     }
     text.append(search.turn->input).append(search.turn->output).append(m_input);
     m_request.body = std::move(text);
+    m_continuesProgram = search.turn->program == turn.program;
     m_ancestors = search.turn->ancestors;
     m_ancestors.push_back(
         {.id = search.turn->id, .partition = programs::partitionOf({.account = m_account, .program = search.turn->program})});
@@ -131,6 +132,7 @@
     const auto reservation = co_await m_context.budgets.reserve(programKey(), {.budget = turn.budget,
                                                                                .maxTokens = turn.maxTokens,
                                                                                .isFirstTurn = isFirstTurn,
+                                                                               .continuesProgram = m_continuesProgram,
                                                                                .history = *m_history,
                                                                                .endBy = m_deadline - s_minRemainingTime});
     recordPhase("budget", startedAt);
--- a/src/serving/storewatcher.cpp
+++ b/src/serving/storewatcher.cpp
@@ -115,7 +115,7 @@
 auto StoreWatcher::recordResult(const std::error_code& error) -> void
 {
     if (!error || error == store::StoreError::HistoryGone) {
-        m_way.succeeded(m_clock.now());
+        m_way.succeeded({}, m_clock.now());
         if (m_isStoreUnreachable) {
             m_isStoreUnreachable = false;
             m_fleetState.backends().markStoreAvailable(m_clock.now());
@@ -123,7 +123,7 @@
         }
         return;
     }
-    m_way.failed(m_clock.now());
+    m_way.failed({}, m_clock.now());
     if (!m_isStoreUnreachable) {
         m_isStoreUnreachable = true;
         m_fleetState.backends().markStoreUnavailable();
--- a/src/store/groupedstore.cpp
+++ b/src/store/groupedstore.cpp
@@ -39,14 +39,6 @@
 /// A call ends by its own time-out; its end interrupts this wait.
 constexpr auto s_longWait = Milliseconds(5'000);
 
-/// All rows of a transaction are in one partition. That of the operator's and the hosts' rows has no name.
-auto partitionOf(const Transaction& transaction) -> std::string
-{
-    return !transaction.puts.empty()         ? transaction.puts.front().address.partition
-           : !transaction.conditions.empty() ? transaction.conditions.front().address.partition
-                                             : std::string();
-}
-
 auto errorOf(const auto& result) -> std::error_code
 {
     return result ? std::error_code() : result.error();
--- a/src/store/routedstore.cpp
+++ b/src/store/routedstore.cpp
@@ -14,36 +14,13 @@
 using framework::Instant;
 using framework::Milliseconds;
 
-constexpr auto s_firstAvoidance = Milliseconds(250);
-
-/// The followers of changes try the direct way about once a second anyway.
-constexpr auto s_longestAvoidance = Milliseconds(2'000);
-
 /// A peer's own call to the store takes up to its timeout (700 ms) and the way there and back.
 constexpr auto s_relayTimeout = Milliseconds(900);
 
-/// A store that refuses all calls of a host serves none within this time.
-constexpr auto s_recentSuccess = Milliseconds(500);
-
 constexpr auto s_helpersTried = std::size_t{2};
 
 } // namespace
 
-auto DirectWay::succeeded(Instant now) -> void
-{
-    m_succeededAt = now;
-    m_failuresInARow = 0;
-    m_hasAnswered = true;
-    m_avoidedUntil = {};
-}
-
-auto DirectWay::failed(Instant now) -> void
-{
-    const auto doublings = std::min(m_failuresInARow, 3);
-    ++m_failuresInARow;
-    m_avoidedUntil = now + std::min(s_firstAvoidance * (1 << doublings), s_longestAvoidance);
-}
-
 RoutedStore::RoutedStore(IStore& direct, IStore& patient, const StoreHealth& health, peers::IPeers& peers, const framework::IClock& clock)
     : m_direct(direct)
     , m_patient(patient)
@@ -56,19 +33,22 @@
 {
     auto isUnknown = false;
     auto error = std::error_code(StoreError::Unavailable);
-    if (m_way.isUsable(m_clock.now())) {
+    const auto partition = partitionOf(transaction);
+    if (m_way.isUsable(partition, m_clock.now())) {
         auto& direct = m_health.isSlow() ? m_patient : m_direct;
         const auto startedAt = m_clock.now();
         auto reply = co_await direct.transact(transaction);
-        note(reply ? std::error_code() : reply.error(), startedAt);
+        note(partition, reply ? std::error_code() : reply.error(), startedAt);
         if (reply) {
             co_return reply;
         }
         error = reply.error();
-        if (!isRelayOfUse(error, startedAt)) {
+        if (!isRelayOfUse(partition, error, startedAt)) {
             co_return error;
         }
         isUnknown = error == StoreError::OutcomeUnknown;
+    } else if (m_way.isFailureOfPartition(partition, m_clock.now())) {
+        co_return error;
     }
     auto request = peers::messages::Request();
     *request.mutable_transaction() = toMessage(transaction);
@@ -90,14 +70,17 @@
 
 auto RoutedStore::list(ListRequest request) -> AsyncResult<RowPage>
 {
-    if (m_way.isUsable(m_clock.now())) {
+    if (m_way.isUsable(request.partition, m_clock.now())) {
         const auto startedAt = m_clock.now();
         auto page = co_await m_direct.list(request);
-        note(page ? std::error_code() : page.error(), startedAt);
+        note(request.partition, page ? std::error_code() : page.error(), startedAt);
         if (page || page.error() == StoreError::Rejected) {
             co_return page;
         }
     }
+    if (m_way.isFailureOfPartition(request.partition, m_clock.now())) {
+        co_return StoreError::Unavailable;
+    }
     auto message = peers::messages::Request();
     *message.mutable_listing() = toMessage(request);
     const auto response = co_await relay(std::move(message));
@@ -112,30 +95,32 @@
     co_return page;
 }
 
-auto RoutedStore::isRelayOfUse(const std::error_code& error, Instant startedAt) const -> bool
+auto RoutedStore::isRelayOfUse(const std::string& partition, const std::error_code& error, Instant startedAt) const -> bool
 {
-    if (error == StoreError::Rejected) {
-        return false; // Another host's call would be rejected as well.
-    }
-    // Where the store serves other calls, too many wait for this one's partition, and further ones would only add to these.
-    const auto since = error == StoreError::Overloaded ? startedAt - s_recentSuccess : startedAt;
-    return error == StoreError::Unavailable || !(m_health.isSlow() || m_way.hasSucceededSince(since));
+    // Another host's call would be rejected as well, or would not reach the partition either.
+    return error != StoreError::Rejected && m_way.isFailure(error, startedAt, m_health.isSlow()) &&
+           !m_way.isFailureOfPartition(partition, m_clock.now());
 }
 
-auto RoutedStore::note(const std::error_code& error, Instant startedAt) -> void
+auto RoutedStore::note(const std::string& partition, const std::error_code& error, Instant startedAt) -> void
 {
     if (!error || error == StoreError::Rejected) {
-        m_way.succeeded(m_clock.now()); // A call that is rejected was answered: the fault is in the call.
+        m_way.succeeded(partition, m_clock.now()); // A call that is rejected was answered: the fault is in the call.
         m_isReachable = true;
         return;
     }
-    if (!isRelayOfUse(error, startedAt)) {
+    if (!m_way.isFailure(error, startedAt, m_health.isSlow())) {
         return; // The way is sound.
     }
-    if (m_way.isSound()) {
+    if (!m_way.isFailing(partition)) {
+        framework::logEvent(framework::LogLevel::Warning, "store", "partition_fails",
+                            {{"partition", partition}, {"reason", framework::codeOf(error)}});
+    }
+    const auto wasSound = m_way.isSound(m_clock.now());
+    m_way.failed(partition, m_clock.now());
+    if (wasSound && !m_way.isSound(m_clock.now())) {
         framework::logEvent(framework::LogLevel::Warning, "store", "direct_way_lost", {{"reason", framework::codeOf(error)}});
     }
-    m_way.failed(m_clock.now());
 }
 
 auto RoutedStore::relay(peers::messages::Request request) -> AsyncResult<peers::messages::Response>
--- a/src/store/routedstore.h
+++ b/src/store/routedstore.h
@@ -2,41 +2,12 @@
 
 #include "framework/global/iclock.h"
 #include "peers/ipeers.h"
+#include "store/directway.h"
 #include "store/istore.h"
 #include "store/storehealth.h"
 
 namespace laburnummill::store {
 
-/// When to use the direct way to the store, and when another host's.
-class DirectWay
-{
-public:
-    auto succeeded(framework::Instant now) -> void;
-
-    /// Leaves the way alone for a while that grows with each failure in a row.
-    auto failed(framework::Instant now) -> void;
-
-    auto isUsable(framework::Instant now) const -> bool { return now >= m_avoidedUntil; }
-
-    /// Whether no call on it has failed since the last one that was answered.
-    auto isSound() const -> bool { return m_failuresInARow == 0; }
-
-    /// Whether the last call on it was answered; false before the first one has ended.
-    auto isProven() const -> bool { return m_hasAnswered && isSound(); }
-
-    /// Whether a call on it was served at `time` or later.
-    auto hasSucceededSince(framework::Instant time) const -> bool { return m_hasAnswered && m_succeededAt >= time; }
-
-    /// Whether any call on it was answered.
-    auto hasAnswered() const -> bool { return m_hasAnswered; }
-
-private:
-    int m_failuresInARow = 0;
-    bool m_hasAnswered = false;
-    framework::Instant m_succeededAt{};
-    framework::Instant m_avoidedUntil{};
-};
-
 /// The store by the direct way where that works, else by way of a peer that reaches it.
 class RoutedStore final : public IStore
 {
@@ -56,9 +27,9 @@
     auto relayedCalls() const -> std::uint64_t { return m_relayedCalls; }
 
 private:
-    auto note(const std::error_code& error, framework::Instant startedAt) -> void;
+    auto note(const std::string& partition, const std::error_code& error, framework::Instant startedAt) -> void;
     /// Whether another host's call may succeed where the direct way failed.
-    auto isRelayOfUse(const std::error_code& error, framework::Instant startedAt) const -> bool;
+    auto isRelayOfUse(const std::string& partition, const std::error_code& error, framework::Instant startedAt) const -> bool;
     auto relay(peers::messages::Request request) -> framework::AsyncResult<peers::messages::Response>;
 
     IStore& m_direct;
--- a/src/store/storehealth.cpp
+++ b/src/store/storehealth.cpp
@@ -21,6 +21,10 @@
 constexpr auto s_awayAfter = Milliseconds(700);
 constexpr auto s_awayAfterIfSlow = Milliseconds(2'000);
 
+/// The same while the store answers later calls to other partitions, and if other hosts report the partition besides.
+constexpr auto s_awayAfterIfAlone = Milliseconds(300);
+constexpr auto s_awayAfterIfReported = Milliseconds(60);
+
 /// An answer of another partition shows for this long that the store is away for some partitions only.
 constexpr auto s_elsewhereRetention = Milliseconds(1'000);
 
@@ -110,6 +114,14 @@
     return m_answeredAt >= unansweredFrom + s_lateAnswer;
 }
 
+auto StoreHealth::isSilentFor(Milliseconds time) const -> bool
+{
+    const auto now = m_clock.now();
+    const auto isOverdue = !m_open.empty() && now >= m_open.begin()->second.startedAt + time;
+    const auto hasFailed = std::ranges::any_of(m_partitions, [](const auto& entry) { return entry.second.hasFailed; });
+    return now >= m_answeredAt + time && (isOverdue || hasFailed);
+}
+
 auto StoreHealth::awayPartitions() const -> std::vector<std::string>
 {
     auto away = std::vector<std::string>();
@@ -128,6 +140,13 @@
     }
     const auto known = m_partitions.find(call.partition);
     const auto answeredAt = known == m_partitions.end() ? Instant{} : known->second.answeredAt;
+    const auto isUnanswered = call.startedAt > answeredAt; // Else only its answer was lost.
+    if (isUnanswered && std::ranges::find(m_reportedAway, call.partition) != m_reportedAway.end()) {
+        return call.startedAt + s_awayAfterIfReported;
+    }
+    if (isUnanswered && m_answeredAt >= call.startedAt + s_lateAnswer) {
+        return call.startedAt + s_awayAfterIfAlone;
+    }
     return std::max(call.startedAt, answeredAt) + s_awayAfter;
 }
 
--- a/src/store/storehealth.h
+++ b/src/store/storehealth.h
@@ -68,9 +68,16 @@
     /// Whether the store has lately answered calls to other partitions that followed one to this partition that is without an answer.
     auto isAwayAlone(std::string_view partition) const -> bool;
 
+    /// Takes over the partitions that do not answer other hosts, as these report. Such a report is no proof, but this host then need not
+    /// wait for long to find the same.
+    auto setReportedAway(std::vector<std::string> partitions) -> void { m_reportedAway = std::move(partitions); }
+
     /// Partitions with calls of this host for which the store is away.
     auto awayPartitions() const -> std::vector<std::string>;
 
+    /// Whether the store has answered no call to any partition for `time` in which one was without an answer, or one had failed.
+    auto isSilentFor(framework::Milliseconds time) const -> bool;
+
     /// Whether the store has lately answered late, in any partition.
     auto isSlow() const -> bool;
 
@@ -96,6 +103,7 @@
     CallId m_lastCall = 0;
     std::map<CallId, Call> m_open; ///< oldest first
     std::map<std::string, Partition, std::less<>> m_partitions;
+    std::vector<std::string> m_reportedAway;
     framework::Instant m_answeredAt{}; ///< in any partition
     framework::Instant m_lateAt{};     ///< of the last late answer
     bool m_isLate = false;             ///< no prompt answer has followed it
--- a/src/store/storetypes.h
+++ b/src/store/storetypes.h
@@ -49,6 +49,15 @@
     std::vector<RowAddress> removals;
 };
 
+/// All rows of a transaction are in one partition. That of the operator's and the hosts' rows has no name.
+inline auto partitionOf(const Transaction& transaction) -> std::string
+{
+    return !transaction.puts.empty()         ? transaction.puts.front().address.partition
+           : !transaction.conditions.empty() ? transaction.conditions.front().address.partition
+           : !transaction.removals.empty()   ? transaction.removals.front().partition
+                                             : std::string();
+}
+
 /// What became of a transaction that the store decided on.
 struct TransactionReply
 {
--- a/src/store/tests/routedstoretest.cpp
+++ b/src/store/tests/routedstoretest.cpp
@@ -50,16 +50,29 @@
     StoreHealth health{clock};
     RoutedStore routed{busy, busy, health, fleet.hosts[0]->peers, clock};
 
-    auto write()->void
+    auto write(const std::string& partition = "t1")->void
     {
-        fleet.run([this]() -> Async<void> {
-            (void)co_await routed.transact({.conditions = {}, .puts = {{.address = {}, .value = {}}}, .removals = {}});
+        fleet.run([this, partition]() -> Async<void> {
+            const auto address = RowAddress{.table = "t", .partition = partition, .key = "k"};
+            (void)co_await routed.transact({.conditions = {}, .puts = {{.address = address, .value = {}}}, .removals = {}});
         });
     }
 
-    auto read()->void
+    auto read(const std::string& partition = "t1")->void
     {
-        fleet.run([this]() -> Async<void> { (void)co_await routed.list({.table = "t", .partition = {}, .from = {}, .to = {}}); });
+        fleet.run([this, partition]() -> Async<void> {
+            (void)co_await routed.list({.table = "t", .partition = partition, .from = {}, .to = {}});
+        });
+    }
+
+    auto isUsable(const std::string& partition = "t1")->bool
+    {
+        return routed.directWay().isUsable(partition, clock.now());
+    }
+
+    auto isSound()->bool
+    {
+        return routed.directWay().isSound(clock.now());
     }
 };
 
@@ -68,16 +81,18 @@
 TEST(RoutedStore, aPartitionWithTooManyCallsIsNoReasonToAvoidTheWay)
 {
     busy.error = StoreError::Overloaded;
-    busy.onWrite = [this] { routed.directWay().succeeded(clock.now()); };
+    busy.onWrite = [this] { routed.directWay().succeeded("t2", clock.now()); };
     write();
-    CHECK_TRUE(routed.directWay().isSound());
+    CHECK_TRUE(isUsable());
+    CHECK_TRUE(isSound());
 }
 
 TEST(RoutedStore, anAnswerThatIsLateWhileOthersArriveIsNoReasonEither)
 {
-    busy.onWrite = [this] { routed.directWay().succeeded(clock.now()); };
+    busy.onWrite = [this] { routed.directWay().succeeded("t2", clock.now()); };
     write();
-    CHECK_TRUE(routed.directWay().isSound());
+    CHECK_TRUE(isUsable());
+    CHECK_TRUE(isSound());
 }
 
 TEST(RoutedStore, aWayOnWhichNothingIsServedIsAvoided)
@@ -86,10 +101,38 @@
         busy.error = error;
         clock.advance(Milliseconds(3'000));
         write();
-        CHECK_FALSE(routed.directWay().isSound());
+        CHECK_FALSE(isUsable());
+        clock.advance(Milliseconds(1'000));
+        write();
+        CHECK_FALSE(isSound());
+        CHECK_FALSE(isUsable("t2"));
         clock.advance(Milliseconds(3'000));
         read();
-        CHECK_TRUE(routed.directWay().isSound());
+        CHECK_TRUE(isSound());
+        CHECK_TRUE(isUsable());
         clock.advance(Milliseconds(3'000));
     }
 }
+
+// Guards against the loss of review/11: hosts took one partition that is away for the loss of the whole way.
+TEST(RoutedStore, aPartitionThatDoesNotAnswerBesideOthersIsNoReasonToAvoidThese)
+{
+    busy.error = StoreError::Unavailable;
+    write("t1");
+    CHECK_FALSE(isUsable("t1"));
+    CHECK_TRUE(isUsable("t2"));
+    CHECK_TRUE(isSound());
+}
+
+TEST(RoutedStore, callsToAPartitionThatIsAwayForAllHostsAreNotRepeatedByOthers)
+{
+    busy.error = StoreError::Unavailable;
+    write("t1");
+    read("t2");
+    const auto before = busy.writes;
+    clock.advance(Milliseconds(400));
+    read("t2");
+    write("t1");
+    CHECK_EQUAL(before + 1, busy.writes);
+    CHECK_EQUAL(0U, routed.relayedCalls());
+}
--- a/src/store/tests/storehealthtest.cpp
+++ b/src/store/tests/storehealthtest.cpp
@@ -192,3 +192,55 @@
     health.end(lost, StoreError::OutcomeUnknown);
     CHECK_FALSE(health.isAwayAlone("t1"));
 }
+
+TEST(StoreHealth, aPartitionWhoseCallsStayBehindLaterOnesToOthersIsAwayAloneSooner)
+{
+    (void)health.begin("t1");
+    clock.advance(Milliseconds(150));
+    call("t2", Milliseconds(10));
+    clock.advance(Milliseconds(130));
+    CHECK_TRUE(is(StoreState::Prompt, "t1"));
+    clock.advance(Milliseconds(20));
+    CHECK_TRUE(is(StoreState::Away, "t1"));
+    CHECK_TRUE(health.isAwayAlone("t1"));
+}
+
+TEST(StoreHealth, anAnswerThatIsLostIsNotTakenForAPartitionThatIsAway)
+{
+    const auto lost = health.begin("t1");
+    clock.advance(Milliseconds(5));
+    call("t1", Milliseconds(10));
+    clock.advance(Milliseconds(150));
+    call("t2", Milliseconds(10));
+    clock.advance(Milliseconds(200));
+    CHECK_TRUE(is(StoreState::Prompt, "t1"));
+    health.abandon(lost);
+}
+
+TEST(StoreHealth, aPartitionThatOtherHostsReportIsAwayOnceACallToItTakesLong)
+{
+    health.setReportedAway({"t1"});
+    CHECK_TRUE(is(StoreState::Prompt, "t1")); // The report alone is no proof.
+    (void)health.begin("t1");
+    (void)health.begin("t2");
+    clock.advance(Milliseconds(70));
+    CHECK_TRUE(is(StoreState::Away, "t1"));
+    CHECK_TRUE(is(StoreState::Prompt, "t2"));
+    health.setReportedAway({});
+    CHECK_TRUE(is(StoreState::Prompt, "t1"));
+}
+
+TEST(StoreHealth, isSilentOnceCallsHaveWaitedAndNoneWasAnswered)
+{
+    CHECK_FALSE(health.isSilentFor(Milliseconds(250)));
+    const auto open = health.begin("t1");
+    clock.advance(Milliseconds(240));
+    CHECK_FALSE(health.isSilentFor(Milliseconds(250)));
+    clock.advance(Milliseconds(20));
+    CHECK_TRUE(health.isSilentFor(Milliseconds(250)));
+    call("t2", Milliseconds(10));
+    CHECK_FALSE(health.isSilentFor(Milliseconds(250)));
+    health.end(open, StoreError::Unavailable);
+    clock.advance(Milliseconds(260));
+    CHECK_TRUE(health.isSilentFor(Milliseconds(250)));
+}
