--- a/src/programs/commitpolicy.cpp
+++ b/src/programs/commitpolicy.cpp
@@ -27,9 +27,9 @@
     return isAway && view.isAwayAlone ? CommitStep::StoreElsewhere : CommitStep::AwaitStore;
 }
 
-auto mustBeServedElsewhere(store::StoreState state, OutageScope outage) -> bool
+auto mustBeServedElsewhere(store::StoreState state, bool isAwayAlone, OutageScope outage) -> bool
 {
-    return state == store::StoreState::Away && outage == OutageScope::CutOff;
+    return state == store::StoreState::Away && !isAwayAlone && outage == OutageScope::CutOff;
 }
 
 auto CommitPace::record(store::StoreState state, framework::Milliseconds took) -> void
--- a/src/programs/commitpolicy.h
+++ b/src/programs/commitpolicy.h
@@ -28,13 +28,14 @@
 };
 
 /// While the store answers this host for some partition, it can keep the turn. Copies in memory stand in for the row of a turn only in an
-/// outage of the whole store for the whole fleet. Hosts that are cut off together may be lost
-/// together, and with them all copies that they hold for each other, while the store and the other hosts go on. A turn whose history the
-/// caller keeps has no row that others need: its copies only tell of the tokens that it used.
+/// outage of the whole store for the whole fleet. Hosts that are cut off together may be lost together, and with them all copies
+/// that they hold for each other, while the store and the other hosts go on. A turn whose history the caller keeps has no row that others
+/// need: its copies only tell of the tokens that it used.
 auto nextCommitStep(const CommitView& view, framework::Instant now) -> CommitStep;
 
-/// Whether a turn that begins now cannot be stored, although hosts elsewhere could serve it.
-auto mustBeServedElsewhere(store::StoreState state, OutageScope outage) -> bool;
+/// Whether a turn that begins now cannot be stored, although hosts elsewhere could serve it. A host that the store answers for other
+/// partitions is not cut off, whatever it has to assume of hosts that it does not hear.
+auto mustBeServedElsewhere(store::StoreState state, bool isAwayAlone, OutageScope outage) -> bool;
 
 /// Estimates how long the end of an answer waits for a slow store, from those that have waited lately.
 class CommitPace
--- a/src/programs/tests/commitpolicytest.cpp
+++ b/src/programs/tests/commitpolicytest.cpp
@@ -34,7 +34,7 @@
     view.store = StoreState::Away;
     view.outage = OutageScope::Fleet;
     CHECK_TRUE(nextCommitStep(view, now) == CommitStep::Replicate);
-    CHECK_FALSE(mustBeServedElsewhere(view.store, view.outage));
+    CHECK_FALSE(mustBeServedElsewhere(view.store, view.isAwayAlone, view.outage));
 }
 
 // Guards against the loss of review/9: copies of hosts that are cut off together were taken for as durable as a row.
@@ -45,8 +45,8 @@
         view.outage = scope;
         CHECK_TRUE(nextCommitStep(view, now) == CommitStep::AwaitStore);
         CHECK_TRUE(nextCommitStep(view, view.endBy) == CommitStep::GiveUp);
-        CHECK_EQUAL(scope == OutageScope::CutOff, mustBeServedElsewhere(view.store, scope));
-        CHECK_FALSE(mustBeServedElsewhere(StoreState::Slow, scope));
+        CHECK_EQUAL(scope == OutageScope::CutOff, mustBeServedElsewhere(view.store, view.isAwayAlone, scope));
+        CHECK_FALSE(mustBeServedElsewhere(StoreState::Slow, view.isAwayAlone, scope));
     }
 }
 
@@ -59,6 +59,8 @@
         view.outage = scope;
         CHECK_TRUE(nextCommitStep(view, now) == CommitStep::StoreElsewhere);
         CHECK_TRUE(nextCommitStep(view, view.endBy) == CommitStep::GiveUp);
+        // Hosts in a cut may be silent meanwhile, which does not make this one cut off.
+        CHECK_FALSE(mustBeServedElsewhere(view.store, view.isAwayAlone, scope));
     }
     view.isRejected = true;
     CHECK_TRUE(nextCommitStep(view, now) == CommitStep::GiveUp);
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -105,8 +105,9 @@
 
 auto TurnJournal::isCutOff(const ProgramKey& program) const -> bool
 {
-    const auto state = stateFor(programs::partitionOf(program));
-    return state == store::StoreState::Away && mustBeServedElsewhere(state, m_outage.outageScope());
+    const auto partition = programs::partitionOf(program);
+    const auto state = stateFor(partition);
+    return state == store::StoreState::Away && mustBeServedElsewhere(state, isAwayAlone(partition), m_outage.outageScope());
 }
 
 auto TurnJournal::canCommitBy(const ProgramKey& program, Instant endBy) const -> bool
