A restarted host no longer waits for partitions that do not answer

And in an outage of the whole store the way was found to be lost 400 ms later than before, as other partitions were sampled only after 250 ms without an answer.

Change: the first read waits 100 ms (a second while the store is slow), and not at all for a program that starts now; other partitions are sampled 50 ms after a failure without an answer since.

--- a/src/programs/alternategrants.cpp
+++ b/src/programs/alternategrants.cpp
@@ -2,8 +2,10 @@
 
 #include "framework/global/tasks.h"
 #include "framework/logging/log.h"
+#include "programs/alternatepartitions.h"
 #include "programs/staggeredattempts.h"
 
+#include <algorithm>
 #include <map>
 
 namespace laburnummill::programs {
@@ -13,8 +15,9 @@
 using framework::Async;
 using framework::Milliseconds;
 
-/// A call to the store has its own time-out, after which its partition counts as away.
-constexpr auto s_readWait = Milliseconds(1'000);
+/// The store answers in about 10 ms. Partitions that take longer are away, or it is slow.
+constexpr auto s_readWait = Milliseconds(100);
+constexpr auto s_readWaitIfSlow = Milliseconds(1'000);
 
 /// A turn waits for no longer.
 constexpr auto s_recordTimeout = Milliseconds(1'000);
@@ -45,9 +48,17 @@
     return m_storeStatus.state(partitionName(partition)) == store::StoreState::Away;
 }
 
+auto AlternateGrants::isSlow() const -> bool
+{
+    const auto& others = alternatesOf(0);
+    return std::ranges::any_of(
+        others, [this](std::uint32_t partition) { return m_storeStatus.state(partitionName(partition)) == store::StoreState::Slow; });
+}
+
 auto AlternateGrants::read() -> Async<void>
 {
     if (m_reads.count() == 0) {
+        m_readSince = m_clock.now();
         for (auto partition = std::uint32_t{0}; partition < s_partitionCount; ++partition) {
             if (m_read.test(partition) || isAway(partition)) {
                 continue;
@@ -60,8 +71,8 @@
                                  });
         }
     }
-    const auto until = m_clock.now() + s_readWait;
-    while (!m_read.all() && m_reads.count() > 0 && m_clock.now() < until) {
+    const auto until = [this] { return m_readSince + (isSlow() ? s_readWaitIfSlow : s_readWait); };
+    while (!m_read.all() && m_reads.count() > 0 && m_clock.now() < until()) {
         co_await m_readEnded.wait(s_readWait);
     }
 }
--- a/src/programs/alternategrants.h
+++ b/src/programs/alternategrants.h
@@ -31,7 +31,8 @@
     /// Whether all partitions have been read.
     auto areAllKnown() const -> bool { return m_read.all(); }
 
-    /// Reads the partitions that have not been read and are not away.
+    /// Reads the partitions that have not been read and are not away. Returns once the store has had the time to answer for those that it
+    /// answers for; the others go on.
     auto read() -> framework::Async<void>;
 
     /// Writes all that this host has granted of the program to another partition. Returns false if none has taken it.
@@ -44,6 +45,7 @@
     auto readPartition(std::uint32_t partition) -> framework::Async<bool>;
     auto addRow(const store::Row& row) -> void;
     auto isAway(std::uint32_t partition) const -> bool;
+    auto isSlow() const -> bool;
 
     framework::asio::any_io_executor m_executor;
     ProgramTable& m_table;
@@ -53,6 +55,7 @@
     framework::Milliseconds m_retention{70'000};
     std::bitset<s_partitionCount> m_read = std::bitset<s_partitionCount>().set(); ///< partitions, or that nothing is to be read there
     framework::WorkCount m_reads;
+    framework::Instant m_readSince{}; ///< start of the reads under way
     framework::Signal m_readEnded;
 };
 
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -397,6 +397,9 @@
 
 auto BudgetLedger::mayLackGrants(ProgramKey key, ProgramPtr program) -> Async<bool>
 {
+    if (!program->isContinued && program->history == TurnHistory::KeptByHosts) {
+        co_return false; // It starts now.
+    }
     co_await m_alternateGrants.read();
     if (m_alternateGrants.areAllKnown() || !program->isContinued) {
         co_return false;
--- a/src/store/directway.cpp
+++ b/src/store/directway.cpp
@@ -17,6 +17,9 @@
 /// The followers of changes try the direct way about once a second anyway.
 constexpr auto s_longestAvoidance = Milliseconds(2'000);
 
+/// A host under load is answered more often than this.
+constexpr auto s_shortSilence = Milliseconds(50);
+
 /// While a call fails, other partitions are probed several times within this time.
 constexpr auto s_longestSilence = Milliseconds(1'000);
 
@@ -84,6 +87,11 @@
     return m_failedSinceAnswer.empty() || !isLost;
 }
 
+auto DirectWay::isInDoubt(Instant now) const -> bool
+{
+    return !m_failedSinceAnswer.empty() && now >= m_failingSince + s_shortSilence;
+}
+
 auto DirectWay::isFailureOfPartition(std::string_view partition, Instant now) const -> bool
 {
     const auto found = m_failures.find(partition);
--- a/src/store/directway.h
+++ b/src/store/directway.h
@@ -31,6 +31,9 @@
     /// Whether the store answers this host, or is not known not to.
     auto isSound(framework::Instant now) const -> bool;
 
+    /// Whether a call has failed and none was answered for some time since, so that other partitions should tell what is lost.
+    auto isInDoubt(framework::Instant now) const -> bool;
+
     /// Whether the store answers this host; false before its first answer.
     auto isProven(framework::Instant now) const -> bool { return m_hasAnswered && isSound(now); }
 
--- a/src/store/returnprobe.cpp
+++ b/src/store/returnprobe.cpp
@@ -54,7 +54,8 @@
         if (const auto away = m_health.awayPartitions(); !away.empty()) {
             startProbe(away[m_next++ % away.size()]);
         }
-        if (m_samples.count() == 0 && !m_health.isSlow() && m_health.isSilentFor(s_sampleAfter)) {
+        const auto isInDoubt = m_way.isInDoubt(m_clock.now()) || m_health.isSilentFor(s_sampleAfter);
+        if (m_samples.count() == 0 && !m_health.isSlow() && isInDoubt) {
             startSample();
         }
     }
--- a/src/store/tests/directwaytest.cpp
+++ b/src/store/tests/directwaytest.cpp
@@ -136,6 +136,17 @@
     CHECK_TRUE(way.isUsable("t1", clock.now()));
 }
 
+TEST(DirectWay, isInDoubtFromAFailureToTheNextAnswer)
+{
+    CHECK_FALSE(way.isInDoubt(clock.now()));
+    way.failed("t1", clock.now());
+    CHECK_FALSE(way.isInDoubt(clock.now()));
+    clock.advance(Milliseconds(50));
+    CHECK_TRUE(way.isInDoubt(clock.now()));
+    way.succeeded("t2", clock.now());
+    CHECK_FALSE(way.isInDoubt(clock.now()));
+}
+
 TEST(DirectWay, isLostOnceOneCallHasFailedAndNoneIsAnswered)
 {
     way.failed("t1", clock.now());
