A body whose end cannot be told is refused

Change: RequestReader accepts "chunked" alone, in HTTP/1.1 and without a length; anything else is answered with 400 and the connection closed.

--- a/src/serving/requestreader.cpp
+++ b/src/serving/requestreader.cpp
@@ -40,6 +40,19 @@
     };
 }
 
+/// Whether the end of the body can be told. The parser reads a coding that does not end with "chunked" as no body, so that the body would
+/// be taken for the next request (RFC 9112, 6.3). Other codings before it are not undone here, and the body would be passed on without
+/// its coding.
+auto isFramingKnown(const http::request_header<>& head) -> bool
+{
+    const auto codings = head.count(http::field::transfer_encoding);
+    if (codings == 0) {
+        return true;
+    }
+    const auto isChunked = codings == 1 && boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+    return isChunked && head.version() >= 11 && head.count(http::field::content_length) == 0;
+}
+
 } // namespace
 
 auto requestBufferLimit(const routing::CallerLimits& limits) -> std::size_t
@@ -83,7 +96,12 @@
 auto RequestReader::readHead() -> Async<boost::system::error_code>
 {
     m_parser.eager(false);
-    co_return co_await readUntil([this] { return m_parser.is_header_done(); }, std::chrono::steady_clock::now() + m_limits.headerTimeout);
+    const auto error =
+        co_await readUntil([this] { return m_parser.is_header_done(); }, std::chrono::steady_clock::now() + m_limits.headerTimeout);
+    if (!error && !isFramingKnown(m_parser.get().base())) {
+        co_return make_error_code(http::error::bad_transfer_encoding);
+    }
+    co_return error;
 }
 
 auto RequestReader::readSmallBody() -> Async<boost::system::error_code>
--- a/src/serving/requestreader.h
+++ b/src/serving/requestreader.h
@@ -25,7 +25,7 @@
     RequestReader(SocketPtr socket, boost::beast::flat_buffer& buffer, const routing::CallerLimits& limits,
                   scheduling::BufferMemory::Share& memory);
 
-    /// Reads the header, and what follows it immediately.
+    /// Reads the header, and what follows it immediately. Fails with `bad_transfer_encoding` if the end of the body cannot be told.
     auto readHead() -> framework::Async<boost::system::error_code>;
 
     /// Reads a body that is not large; of a large one of no stated length what makes it so. The caller should be known before readBody().
