--- a/src/programs/tests/turnjournaltest.cpp
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -201,6 +201,19 @@
     CHECK_TRUE(larger.commit(0, "t3") == CommitOutcome::Stored);
 }
 
+// Guards against the loss of review/12: an answer for another partition, from before the cut, overruled the verdict that the host is cut
+// off.
+TEST(TurnJournal, aTurnThatAHostInACutIsStillAnsweredForElsewhereIsNotCalledWhole)
+{
+    fleet.timeLimit = Milliseconds(500);
+    fleet.store.awayPartitions.insert(partitionName(partitionOf({.account = "pub", .program = "p1"})));
+    CHECK_TRUE(fleet.commit(0, "t0") == CommitOutcome::StoredElsewhere);
+    fleet.setCutGroup({0, 1}, 1);
+    CHECK_TRUE(fleet.hosts[0]->grouped.isAwayAlone(partitionName(partitionOf({.account = "pub", .program = "p1"}))));
+    CHECK_TRUE(fleet.commit(0, "t1") == CommitOutcome::NotStored);
+    CHECK_FALSE(fleet.store.hasTurn("t1"));
+}
+
 TEST(TurnJournal, aTurnThatIsAwaitedWhenACutEndsIsCalledWhole)
 {
     fleet.setCutGroup({0, 1}, 1);
--- a/testing/faultsoak/faultplan.cpp
+++ b/testing/faultsoak/faultplan.cpp
@@ -12,7 +12,7 @@
 
 using framework::Milliseconds;
 
-constexpr auto s_faultNames = framework::NameTable<FaultKind, 36>{{
+constexpr auto s_faultNames = framework::NameTable<FaultKind, 39>{{
     {FaultKind::HostKilled, "host_killed"},
     {FaultKind::HostFrozen, "host_frozen"},
     {FaultKind::HostRolled, "host_rolled"},
@@ -49,13 +49,17 @@
     {FaultKind::CallersEndless, "callers_endless"},
     {FaultKind::CallersLarge, "callers_large"},
     {FaultKind::EngineEndless, "engine_endless"},
+    {FaultKind::StorePartlyBusy, "store_partly_busy"},
+    {FaultKind::StorePartlySilent, "store_partly_silent"},
+    {FaultKind::HostsAllKilled, "hosts_all_killed"},
 }};
 
-constexpr auto s_mixtureNames = framework::NameTable<Mixture, 4>{{
+constexpr auto s_mixtureNames = framework::NameTable<Mixture, 5>{{
     {Mixture::All, "all"},
     {Mixture::Planned, "planned"},
     {Mixture::Rolls, "rolls"},
     {Mixture::Resources, "resources"},
+    {Mixture::Partial, "partial"},
 }};
 
 /// DataCentreRolled, and the kinds after it, are left to the other mixtures.
@@ -71,6 +75,10 @@
     std::array{FaultKind::HostSignalledEarly, FaultKind::HostSignalledEarly, FaultKind::HostPortHeld, FaultKind::HostDescriptorsUsed,
                FaultKind::HostFrozenLong,     FaultKind::CallersEndless,     FaultKind::CallersLarge, FaultKind::EngineEndless,
                FaultKind::HostRolled,         FaultKind::HostReloaded,       FaultKind::HostKilled,   FaultKind::EngineGarbage};
+constexpr auto s_partialKinds =
+    std::array{FaultKind::StorePartlyBusy, FaultKind::StorePartlySilent, FaultKind::StorePartlyBusy, FaultKind::StorePartlySilent,
+               FaultKind::HostsAllKilled,  FaultKind::HostKilled,        FaultKind::HostFrozen,      FaultKind::HostReloaded,
+               FaultKind::StorePathReset,  FaultKind::StorePathCut,      FaultKind::EngineBreaksOff, FaultKind::PeerPathReset};
 
 /// On the platform's days troubles come every few seconds.
 constexpr auto s_meanGap = Milliseconds(1'200);
@@ -96,7 +104,7 @@
 auto losesMemory(FaultKind kind) -> bool
 {
     return kind == FaultKind::HostKilled || kind == FaultKind::HostRolled || kind == FaultKind::DataCentreRolled ||
-           kind == FaultKind::HostSignalledEarly || kind == FaultKind::HostPortHeld;
+           kind == FaultKind::HostSignalledEarly || kind == FaultKind::HostPortHeld || kind == FaultKind::HostsAllKilled;
 }
 
 auto takesStoreAway(FaultKind kind) -> bool
@@ -133,6 +141,8 @@
         return s_rollsKinds[random % s_rollsKinds.size()];
     case Mixture::Resources:
         return s_resourcesKinds[random % s_resourcesKinds.size()];
+    case Mixture::Partial:
+        return s_partialKinds[random % s_partialKinds.size()];
     case Mixture::All:
         break;
     }
--- a/testing/faultsoak/faultplan.h
+++ b/testing/faultsoak/faultplan.h
@@ -47,6 +47,9 @@
     CallersEndless,      ///< callers without a key send requests without end
     CallersLarge,        ///< callers send the first part of large bodies, and stop
     EngineEndless,       ///< answers without end
+    StorePartlyBusy,     ///< for a third of its partitions, or two thirds
+    StorePartlySilent,
+    HostsAllKilled,
 };
 
 struct Fault
@@ -69,6 +72,7 @@
     Planned,   ///< stops, reloads, keys withdrawn, servers that drain: nothing unplanned
     Rolls,     ///< the planned ones, while the store is away
     Resources, ///< starts, stops, and what uses up memory, descriptors and ports
+    Partial,   ///< some partitions of the store away, and all hosts lost at once
 };
 
 auto nameOf(Mixture mixture) -> std::string_view;
--- a/testing/faultsoak/faultplayer.cpp
+++ b/testing/faultsoak/faultplayer.cpp
@@ -38,6 +38,17 @@
     }
 }
 
+auto storePartsFaultOf(const Fault& fault) -> std::optional<StorePartsFault>
+{
+    const auto state = fault.kind == FaultKind::StorePartlyBusy     ? StoreFault::Busy
+                       : fault.kind == FaultKind::StorePartlySilent ? StoreFault::Silent
+                                                                    : StoreFault::None;
+    if (state == StoreFault::None) {
+        return std::nullopt;
+    }
+    return StorePartsFault{.fault = state, .thirds = 1 + fault.target % 2, .draw = static_cast<std::uint64_t>(fault.target)};
+}
+
 /// Ways in which an answer has no end. In a body without end the bytes are the server's answer, which a caller gets as it arrives.
 constexpr auto s_endlessAnswers = std::array{EngineFault::EndlessHead, EngineFault::EndlessChunkLine, EngineFault::EndlessTrailer};
 
@@ -137,7 +148,7 @@
 {
     const auto host = Place{.kind = Place::Kind::Host, .number = hostOf(fault)};
     const auto engine = Place{.kind = Place::Kind::Engine, .number = engineOf(fault)};
-    if (storeFaultOf(fault.kind)) {
+    if (storeFaultOf(fault.kind) || storePartsFaultOf(fault)) {
         return {{.kind = Place::Kind::Store}};
     }
     if (engineFaultOf(fault)) {
@@ -158,11 +169,22 @@
     case FaultKind::DataCentresCut:
     case FaultKind::DataCentresCutOneWay:
         return hostsOfBoth(fault.target % m_fleet.dataCentres());
+    case FaultKind::HostsAllKilled:
+        return allHosts();
     default:
         return {host};
     }
 }
 
+auto FaultPlayer::allHosts() const -> std::vector<Place>
+{
+    auto places = std::vector<Place>();
+    for (auto host = 0; host < m_fleet.hosts(); ++host) {
+        places.push_back({.kind = Place::Kind::Host, .number = host});
+    }
+    return places;
+}
+
 auto FaultPlayer::hostsOfBoth(int dataCentre) const -> std::vector<Place>
 {
     auto places = std::vector<Place>();
@@ -198,6 +220,10 @@
         m_fleet.store().setFault(m_store.push(number, *state));
         return;
     }
+    if (const auto state = storePartsFaultOf(fault)) {
+        m_fleet.store().setPartsFault(m_storeParts.push(number, *state));
+        return;
+    }
     if (const auto state = engineFaultOf(fault)) {
         m_fleet.engine(engine).setFault(m_engines[engine].push(number, *state));
         return;
@@ -205,6 +231,8 @@
     switch (fault.kind) {
     case FaultKind::HostKilled:
         return setDown(host, true);
+    case FaultKind::HostsAllKilled:
+        return setAllDown(true);
     case FaultKind::HostFrozen:
     case FaultKind::HostFrozenLong:
         return setFrozen(host, true);
@@ -257,6 +285,10 @@
         m_fleet.store().setFault(m_store.remove(number));
         return;
     }
+    if (storePartsFaultOf(fault)) {
+        m_fleet.store().setPartsFault(m_storeParts.remove(number));
+        return;
+    }
     if (engineFaultOf(fault)) {
         m_fleet.engine(engine).setFault(m_engines[engine].remove(number));
         return;
@@ -264,6 +296,8 @@
     switch (fault.kind) {
     case FaultKind::HostKilled:
         return setDown(host, false);
+    case FaultKind::HostsAllKilled:
+        return setAllDown(false);
     case FaultKind::HostFrozen:
     case FaultKind::HostFrozenLong:
         return setFrozen(host, false);
@@ -305,6 +339,13 @@
     }
 }
 
+auto FaultPlayer::setAllDown(bool areDown) -> void
+{
+    for (auto host = 0; host < m_fleet.hosts(); ++host) {
+        setDown(host, areDown);
+    }
+}
+
 auto FaultPlayer::restart(int host) -> void
 {
     if (m_down[host] == 0 && !m_rolling.contains(host) && !m_fleet.isRunning(host)) {
--- a/testing/faultsoak/faultplayer.h
+++ b/testing/faultsoak/faultplayer.h
@@ -45,9 +45,11 @@
     auto roll(int host) -> asio::awaitable<void>;
     auto setFrozen(int host, bool isFrozen) -> void;
     auto setDown(int host, bool isDown) -> void;
+    auto setAllDown(bool areDown) -> void;
     auto cutDataCentres(const Fault& fault, bool isCut) -> void;
     auto hostOf(const Fault& fault) const -> int;
     auto placesOf(const Fault& fault) const -> std::vector<Place>;
+    auto allHosts() const -> std::vector<Place>;
     auto hostsOfBoth(int dataCentre) const -> std::vector<Place>; ///< and of the next one
     auto recordBegin(const Fault& fault) -> void;
     auto recordEnd(const Fault& fault) -> void;
@@ -70,6 +72,7 @@
     std::set<int> m_rolling;
     std::map<std::pair<int, int>, int> m_cuts;
     Overlay<StoreFault> m_store;
+    Overlay<StorePartsFault> m_storeParts;
     std::map<int, Overlay<EngineFault>> m_engines;
     std::map<int, Overlay<PathState>> m_enginePaths;
     std::map<int, Overlay<PathState>> m_storePaths;
--- a/testing/faultsoak/main.cpp
+++ b/testing/faultsoak/main.cpp
@@ -142,7 +142,7 @@
     add("data-centres", options::value(&chosen.fleet.dataCentres), "among which hosts are spread");
     add("engines", options::value(&chosen.fleet.engines), "stand-ins of backend servers");
     add("programs", options::value(&chosen.programs), "callers' programs at a time");
-    add("mixture", options::value<std::string>()->default_value("all"), "faults to draw from: all, planned, rolls");
+    add("mixture", options::value<std::string>()->default_value("all"), "faults to draw from: all, planned, rolls, resources, partial");
     add("grace", options::value<int>()->default_value(4), "seconds that hosts have to stop");
     add("event-pause", options::value<int>()->default_value(8), "milliseconds that backend servers take for an event or a plain answer");
     add("faults", "prints the faults of the seed and ends");
--- a/testing/faultsoak/tests/faultplantest.cpp
+++ b/testing/faultsoak/tests/faultplantest.cpp
@@ -14,7 +14,7 @@
 
 constexpr auto s_length = Milliseconds(30'000);
 constexpr auto s_seeds = std::uint64_t{200};
-constexpr auto s_mixtures = std::array{Mixture::All, Mixture::Planned, Mixture::Rolls, Mixture::Resources};
+constexpr auto s_mixtures = std::array{Mixture::All, Mixture::Planned, Mixture::Rolls, Mixture::Resources, Mixture::Partial};
 
 auto isOutage(const Fault& fault) -> bool
 {
@@ -51,7 +51,7 @@
             }
         }
     }
-    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::EngineEndless) + 1, kinds.size());
+    CHECK_EQUAL(static_cast<std::size_t>(FaultKind::HostsAllKilled) + 1, kinds.size());
 }
 
 TEST(FaultPlan, noMoreHostsAreLostInAnOutageThanItsRecordsSurvive)
@@ -67,6 +67,22 @@
     }
 }
 
+TEST(FaultPlan, allHostsAreLostInOutagesOfSomePartitionsOnly)
+{
+    auto losses = 0;
+    for (auto seed = std::uint64_t{0}; seed < s_seeds; ++seed) {
+        const auto faults = drawFaults(seed, s_length, Mixture::Partial);
+        CHECK_TRUE(std::ranges::none_of(faults, isOutage));
+        for (const auto& fault : faults) {
+            const auto isPartial = fault.kind == FaultKind::StorePartlyBusy || fault.kind == FaultKind::StorePartlySilent;
+            losses += isPartial && std::ranges::any_of(faults, [&](const auto& loss) {
+                          return loss.kind == FaultKind::HostsAllKilled && loss.at > fault.at && loss.at < fault.at + fault.time;
+                      });
+        }
+    }
+    CHECK_TRUE(losses > static_cast<int>(s_seeds));
+}
+
 TEST(FaultPlan, plannedWorkIsAllThatThePlannedMixtureHas)
 {
     auto rolls = 0;
--- a/testing/standins/storestandin.cpp
+++ b/testing/standins/storestandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/storestandin.h"
 
+#include "framework/global/digest.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -76,6 +78,21 @@
     return found == query.end() ? fallback : std::stoull(found->second);
 }
 
+/// The partition that a call is about; empty if it is about none.
+auto partOf(const std::map<std::string, std::string>& query, const std::string& body) -> std::string
+{
+    if (const auto found = query.find("part"); found != query.end()) {
+        return found->second;
+    }
+    const auto call = Json::parse(body, nullptr, false);
+    for (const auto* rows : {"puts", "expected_rev", "remove"}) {
+        if (call.is_object() && call.contains(rows) && !call[rows].empty()) {
+            return call[rows].front().value("part", std::string());
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 StoreStandIn::StoreStandIn(asio::io_context& context)
@@ -160,24 +177,25 @@
         ++m_calls;
         const auto target = std::string(request.target());
         const auto mark = target.find('?');
+        const auto query = queryOf(mark == std::string::npos ? "" : target.substr(mark + 1));
+        const auto part = partOf(query, request.body());
         auto reply = std::pair(0U, Json());
-        const auto isRefusing = [this] { return m_fault == StoreFault::Busy || m_fault == StoreFault::TooMany; };
-        if (!isRefusing() && m_fault != StoreFault::Silent) {
-            reply =
-                co_await answer(target.substr(0, mark), queryOf(mark == std::string::npos ? "" : target.substr(mark + 1)), request.body());
+        const auto isRefusing = [this, part] { return faultOf(part) == StoreFault::Busy || faultOf(part) == StoreFault::TooMany; };
+        if (!isRefusing() && faultOf(part) != StoreFault::Silent) {
+            reply = co_await answer(target.substr(0, mark), query, request.body());
         }
         const auto isDone = reply.first != 0 && request.method() == http::verb::post;
         if (isRefusing() && !isDone) {
-            reply = std::pair(m_fault == StoreFault::Busy ? 503U : 429U, Json());
+            reply = std::pair(faultOf(part) == StoreFault::Busy ? 503U : 429U, Json());
         }
-        if (m_fault == StoreFault::Silent) {
+        if (faultOf(part) == StoreFault::Silent) {
             auto pause = asio::steady_timer(m_context, std::chrono::hours(1));
             co_await pause.async_wait(asio::use_awaitable);
         }
         if (m_cutOffPorts.contains(port)) {
             co_return;
         }
-        if (m_fault == StoreFault::LostAnswer && request.method() == http::verb::post) {
+        if (faultOf(part) == StoreFault::LostAnswer && request.method() == http::verb::post) {
             co_return;
         }
         auto response = http::response<http::string_body>(static_cast<http::status>(reply.first), 11);
@@ -188,6 +206,12 @@
     }
 }
 
+auto StoreStandIn::faultOf(const std::string& part) const -> StoreFault
+{
+    const auto hasPartsFault = !part.empty() && framework::hash64(part, m_partsFault.draw) % 3 < static_cast<unsigned>(m_partsFault.thirds);
+    return m_fault == StoreFault::None && hasPartsFault ? m_partsFault.fault : m_fault;
+}
+
 auto StoreStandIn::answer(const std::string& path, const Query& query, const std::string& body)
     -> asio::awaitable<std::pair<unsigned, Json>>
 {
--- a/testing/standins/storestandin.h
+++ b/testing/standins/storestandin.h
@@ -25,6 +25,14 @@
     LostAnswer, ///< done, and the connection closed without an answer
 };
 
+/// A fault that some of the store's partitions have. Rows without a partition, the operator's and the hosts', are never among them.
+struct StorePartsFault
+{
+    StoreFault fault = StoreFault::None;
+    int thirds = 0;         ///< of the partitions that have it
+    std::uint64_t draw = 0; ///< chooses which
+};
+
 /// The platform's store by its published protocol, in memory: rows, conditions, changes with a history that can be dropped.
 class StoreStandIn
 {
@@ -42,6 +50,7 @@
     /// Calls that the store holds for changes meet the fault as well.
     auto setFault(StoreFault fault) -> void;
     auto fault() const -> StoreFault { return m_fault; }
+    auto setPartsFault(StorePartsFault fault) -> void { m_partsFault = fault; }
 
     /// Changes before now are no longer told.
     auto dropHistory() -> void { m_historyFrom = m_version; }
@@ -79,6 +88,8 @@
     auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void>;
     auto answer(const std::string& path, const Query& query, const std::string& body)
         -> asio::awaitable<std::pair<unsigned, framework::Json>>;
+    /// The fault that a call to the partition meets now.
+    auto faultOf(const std::string& part) const -> StoreFault;
     auto transact(const framework::Json& call) -> std::pair<unsigned, framework::Json>;
     auto list(const Query& query) const -> framework::Json;
     auto changes(const Query& query) -> asio::awaitable<std::pair<unsigned, framework::Json>>;
@@ -93,6 +104,7 @@
     std::uint64_t m_version = 1;
     std::uint64_t m_historyFrom = 0;
     StoreFault m_fault = StoreFault::None;
+    StorePartsFault m_partsFault;
     int m_transactions = 0;
     int m_calls = 0;
 };
