--- a/src/programs/alternatepartitions.cpp
+++ b/src/programs/alternatepartitions.cpp
@@ -27,14 +27,14 @@
 
 auto alternatesOf(std::uint32_t partition) -> const AlternatePartitions&
 {
-    static const auto s_alternates = [] {
+    static const auto ranked = [] {
         auto all = std::array<AlternatePartitions, s_partitionCount>();
         for (auto each = std::uint32_t{0}; each < s_partitionCount; ++each) {
             all[each] = rankAlternates(each);
         }
         return all;
     }();
-    return s_alternates.at(partition);
+    return ranked.at(partition);
 }
 
 auto answeringAlternates(std::uint32_t partition, const store::IStoreStatus& storeStatus) -> std::vector<std::uint32_t>
--- a/src/programs/storepartitions.cpp
+++ b/src/programs/storepartitions.cpp
@@ -8,7 +8,7 @@
 
 auto storePartitions() -> const std::vector<std::string>&
 {
-    static const auto s_partitions = [] {
+    static const auto names = [] {
         auto partitions = std::vector<std::string>();
         for (auto partition = std::uint32_t{0}; partition < s_partitionCount; ++partition) {
             partitions.push_back(partitionName(partition));
@@ -16,7 +16,7 @@
         partitions.emplace_back();
         return partitions;
     }();
-    return s_partitions;
+    return names;
 }
 
 auto partitionSet(const std::vector<std::string>& partitions) -> std::uint32_t
--- a/testing/faultsoak/faultplayer.cpp
+++ b/testing/faultsoak/faultplayer.cpp
@@ -211,17 +211,26 @@
     }
 }
 
+auto FaultPlayer::beginAtStore(std::size_t number) -> bool
+{
+    const auto& fault = m_faults[number];
+    const auto state = storeFaultOf(fault.kind);
+    const auto partsState = storePartsFaultOf(fault);
+    if (state) {
+        m_fleet.store().setFault(m_store.push(number, *state));
+    }
+    if (partsState) {
+        m_fleet.store().setPartsFault(m_storeParts.push(number, *partsState));
+    }
+    return state || partsState;
+}
+
 auto FaultPlayer::begin(std::size_t number) -> void
 {
     const auto& fault = m_faults[number];
     const auto host = hostOf(fault);
     const auto engine = engineOf(fault);
-    if (const auto state = storeFaultOf(fault.kind)) {
-        m_fleet.store().setFault(m_store.push(number, *state));
-        return;
-    }
-    if (const auto state = storePartsFaultOf(fault)) {
-        m_fleet.store().setPartsFault(m_storeParts.push(number, *state));
+    if (beginAtStore(number)) {
         return;
     }
     if (const auto state = engineFaultOf(fault)) {
--- a/testing/faultsoak/faultplayer.h
+++ b/testing/faultsoak/faultplayer.h
@@ -41,6 +41,8 @@
 private:
     auto playOne(std::size_t number) -> asio::awaitable<void>;
     auto begin(std::size_t number) -> void;
+    /// Returns false if it is no fault of the store.
+    auto beginAtStore(std::size_t number) -> bool;
     auto end(std::size_t number) -> void;
     auto roll(int host) -> asio::awaitable<void>;
     auto setFrozen(int host, bool isFrozen) -> void;
