No second grant without the row while earlier ones may be unread

Change: grants without the row need all partitions read in which there can be earlier ones, but for programs that start now. The partition of the row itself holds none and is not waited for.

--- a/src/programs/alternategrants.h
+++ b/src/programs/alternategrants.h
@@ -31,6 +31,9 @@
     /// Whether all partitions have been read.
     auto areAllKnown() const -> bool { return m_read.all(); }
 
+    /// Whether all partitions have been read in which there can be grants of a program of `partition`.
+    auto areKnownFor(std::uint32_t partition) const -> bool { return std::bitset<s_partitionCount>(m_read).set(partition).all(); }
+
     /// Reads the partitions that have not been read and are not away. Returns once the store has had the time to answer for those that it
     /// answers for; the others go on.
     auto read() -> framework::Async<void>;
--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -300,7 +300,9 @@
     if (m_spent.contains(key, m_clock.now())) {
         return false; // It is not one that starts now, even if its turn names no previous one.
     }
-    return (program.isRowKnown || program.unrecordedTokens > 0 || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
+    // An earlier incarnation may have granted as much already.
+    const auto isKnown = (program.isRowKnown && m_alternateGrants.areKnownFor(partitionOf(key))) || program.unrecordedTokens > 0;
+    return (isKnown || mayHaveStartedNow(program, demand, others)) && others.grantor.empty();
 }
 
 auto BudgetLedger::support(Program& program, std::string_view grantor, std::uint64_t incarnation) -> bool
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -401,7 +401,7 @@
         co_return false; // It starts now.
     }
     co_await m_alternateGrants.read();
-    if (m_alternateGrants.areAllKnown() || !program->isContinued) {
+    if (m_alternateGrants.areKnownFor(partitionOf(key)) || !program->isContinued) {
         co_return false;
     }
     // Grants of a program that has a row are within one turn's tokens.
