--- a/src/programs/alternategrants.cpp
+++ b/src/programs/alternategrants.cpp
@@ -25,12 +25,6 @@
 /// Rows of a transaction that removes some; the store accepts 100 entries.
 constexpr auto s_mostRemovals = std::size_t{100};
 
-/// A key that sorts directly after `key` among those in use, in byte order.
-auto keyAfter(const std::string& key) -> std::string
-{
-    return key + '!';
-}
-
 } // namespace
 
 AlternateGrants::AlternateGrants(framework::asio::any_io_executor executor, ProgramTable& table, store::IStore& store,
@@ -89,7 +83,7 @@
             addRow(row);
         }
         hasMore = page.value().hasMore && !page.value().rows.empty();
-        request.from = hasMore ? keyAfter(page.value().rows.back().address.key) : std::string();
+        request.from = hasMore ? store::keyAfter(page.value().rows.back().address.key) : std::string();
     }
     co_return true;
 }
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -39,18 +39,13 @@
 /// Of these, those that are read before the other hosts are asked: the writer has used the first one that answered.
 constexpr auto s_likelyAlternates = std::size_t{3};
 
-/// A key that sorts directly after `key` among those in use, in byte order.
-auto keyAfter(const std::string& key) -> std::string
-{
-    return key + '!';
-}
-
 } // namespace
 
 auto TurnJournal::readRow(std::string id, std::uint32_t partition) -> AsyncResult<TurnPtr>
 {
     const auto address = turnRow(id, partition);
-    auto request = store::ListRequest{.table = address.table, .partition = address.partition, .from = id, .to = keyAfter(id), .limit = 1};
+    auto request =
+        store::ListRequest{.table = address.table, .partition = address.partition, .from = id, .to = store::keyAfter(id), .limit = 1};
     BOOST_OUTCOME_CO_TRY(const auto page, co_await m_store.list(std::move(request)));
     if (page.rows.empty()) {
         co_return TurnPtr();
@@ -75,7 +70,7 @@
         BOOST_OUTCOME_CO_TRY(auto page, co_await m_store.list(request));
         hasMore = page.hasMore && !page.rows.empty();
         std::ranges::move(page.rows, std::back_inserter(parts));
-        request.from = hasMore ? keyAfter(parts.back().address.key) : std::string();
+        request.from = hasMore ? store::keyAfter(parts.back().address.key) : std::string();
     }
     co_return joinParts(head, parts);
 }
--- a/src/store/storetypes.h
+++ b/src/store/storetypes.h
@@ -28,6 +28,12 @@
 /// The version of a row that does not exist.
 inline constexpr auto s_absentRow = std::uint64_t{0};
 
+/// A key that sorts directly after `key` among those in use, in byte order.
+inline auto keyAfter(const std::string& key) -> std::string
+{
+    return key + '!';
+}
+
 /// A row that must stand at a version for a transaction to take effect.
 struct Condition
 {
--- a/testing/faultsoak/main.cpp
+++ b/testing/faultsoak/main.cpp
@@ -26,6 +26,9 @@
 /// The sites' bound until hosts serve again after trouble is 15 s; on loopback nothing needs that long.
 constexpr auto s_settleTime = Milliseconds(6'000);
 
+/// Programs from the time of the faults that have to go on, where losses of all hosts are among these.
+constexpr auto s_earlierPrograms = std::size_t{150};
+
 constexpr auto s_look = Milliseconds(50);
 
 struct SoakOptions
@@ -79,7 +82,7 @@
     while (callers.running() > 0) {
         co_await restFor(context, s_look);
     }
-    co_await callers.checkRecovery();
+    co_await callers.checkRecovery(chosen.mixture == Mixture::Partial ? s_earlierPrograms : 0);
     co_await callers.checkDrainedServer();
     co_await callers.checkWithdrawnKey();
     context.stop();
--- a/testing/faultsoak/soakcallers.cpp
+++ b/testing/faultsoak/soakcallers.cpp
@@ -12,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace laburnummill::testing {
 
 namespace {
@@ -44,6 +46,20 @@
     return account + "-key";
 }
 
+/// The last of `count` programs, and `earlier` ones spread over those before.
+auto programsToCheck(std::size_t count, std::size_t earlier) -> std::vector<std::size_t>
+{
+    const auto first = count - std::min(count, s_checkedPrograms);
+    auto chosen = std::vector<std::size_t>();
+    for (auto number = std::size_t{0}; number < std::min(earlier, first); ++number) {
+        chosen.push_back(number * first / earlier);
+    }
+    for (auto index = first; index < count; ++index) {
+        chosen.push_back(index);
+    }
+    return chosen;
+}
+
 auto wholeEvents(const std::string& body) -> int
 {
     auto events = 0;
@@ -248,7 +264,7 @@
     co_return got;
 }
 
-auto SoakCallers::checkRecovery() -> asio::awaitable<void>
+auto SoakCallers::checkRecovery(std::size_t earlierPrograms) -> asio::awaitable<void>
 {
     auto connection = Connection(m_context, 0);
     for (auto host = 0; host < m_fleet.hosts(); ++host) {
@@ -256,8 +272,7 @@
             m_promises.broken(Promise::Recovers, fmt::format("host-{} is not ready", host));
         }
     }
-    const auto first = m_ended.size() > s_checkedPrograms ? m_ended.size() - s_checkedPrograms : 0;
-    for (auto index = first; index < m_ended.size(); ++index) {
+    for (const auto index : programsToCheck(m_ended.size(), earlierPrograms)) {
         auto& program = m_ended[index];
         connection.dataCentre = static_cast<int>(index) % m_fleet.dataCentres();
         const auto end = co_await takeTurn(connection, program, program.turns.back(), s_recoveryTries);
