--- a/testing/faultsoak/soakcallers.h
+++ b/testing/faultsoak/soakcallers.h
@@ -19,7 +19,8 @@
     auto stop() -> void { m_isStopped = true; }
     auto running() const -> int { return m_running; }
 
-    /// With all faults over: each program that ended lately, and `earlierPrograms` of those before, go on by a turn, and each host is ready.
+    /// With all faults over: each program that ended lately, and `earlierPrograms` of those before, go on by a turn, and each host is
+    /// ready.
     auto checkRecovery(std::size_t earlierPrograms = 0) -> asio::awaitable<void>;
 
     /// A server drains for long enough that all hosts know: none may send it anything.
