No answer to a turn ends without its row, also while the store answers no host

Cause: nextCommitStep() let copies on other hosts stand in for the row in an outage of the whole fleet. Copies end with the hosts.

Change: the branch is gone; a turn whose history the hosts keep waits for its row until its caller's time limit. With it go the verdict Fleet of FleetMembership and knows_fleet_outage of heartbeats, on which nothing else rests. Turns whose callers send the history are as before.

--- a/src/programs/commitpolicy.cpp
+++ b/src/programs/commitpolicy.cpp
@@ -18,9 +18,6 @@
     if (view.isRejected) {
         return CommitStep::GiveUp;
     }
-    if (isAway && !view.isAwayAlone && view.outage == OutageScope::Fleet) {
-        return CommitStep::Replicate;
-    }
     if (now >= view.endBy) {
         return CommitStep::GiveUp;
     }
--- a/src/programs/commitpolicy.h
+++ b/src/programs/commitpolicy.h
@@ -12,7 +12,7 @@
 {
     AwaitStore,     ///< only a stored turn outlives the loss of this host and of those that it reaches
     StoreElsewhere, ///< the turn is written to another partition
-    Replicate,      ///< the turn is kept in the memory of several hosts
+    Replicate,      ///< the tokens that the turn used are kept in the memory of several hosts
     GiveUp,         ///< the store does not take the turn in time, and the answer must not end as if it were whole
 };
 
@@ -20,17 +20,15 @@
 struct CommitView
 {
     store::StoreState store = store::StoreState::Prompt; ///< for the partition of the turn
-    OutageScope outage = OutageScope::Undecided;         ///< if the store is away
     bool isAwayAlone = false;                            ///< the store answers for other partitions
     TurnHistory history = TurnHistory::KeptByHosts;
     bool isRejected = false;    ///< the store does not accept the turn
     framework::Instant endBy{}; ///< until when the caller waits
 };
 
-/// While the store answers this host for some partition, it can keep the turn. Copies in memory stand in for the row of a turn only in an
-/// outage of the whole store for the whole fleet. Hosts that are cut off together may be lost together, and with them all copies
-/// that they hold for each other, while the store and the other hosts go on. A turn whose history the caller keeps has no row that others
-/// need: its copies only tell of the tokens that it used.
+/// Only a row outlives the loss of all hosts, which may come at any moment, also while the store answers none of them. A turn whose history
+/// the hosts keep therefore never ends on copies in memory. A turn whose history the caller keeps has no row that others need: its
+/// copies only tell of the tokens that it used.
 auto nextCommitStep(const CommitView& view, framework::Instant now) -> CommitStep;
 
 /// Whether a turn that begins now cannot be stored, although hosts elsewhere could serve it. A host that the store answers for other
--- a/src/programs/fleetmembership.cpp
+++ b/src/programs/fleetmembership.cpp
@@ -29,9 +29,6 @@
 /// A host counts as cut off if at least this fraction of the fleet fell silent. Single hosts that fail fall silent as well.
 constexpr auto s_cutOffFraction = 1.0 / 6;
 
-/// If this fraction of the fleet fell silent in an outage of the store, a cut may have begun: the store may be back for the silent hosts.
-constexpr auto s_maySeparateFraction = 1.0 / 5;
-
 } // namespace
 
 FleetMembership::FleetMembership(std::string ownHost)
@@ -75,7 +72,6 @@
                                    .dataCentre = heartbeat.data_centre(),
                                    .heardAt = now,
                                    .reachesStore = heartbeat.reaches_store(),
-                                   .knowsFleetOutage = heartbeat.knows_fleet_outage(),
                                    .isLeaving = heartbeat.is_leaving(),
                                    .wasHeard = true};
 }
@@ -121,8 +117,6 @@
 {
     auto verdict = OutageVerdict();
     auto places = std::map<std::string_view, Place>();
-    auto isKnownByOthers = false;
-    auto failed = 0;
     for (const auto& [host, member] : m_members) {
         if (member.isAbsent) {
             continue;
@@ -134,17 +128,13 @@
         ++place.members;
         place.silent += isLost ? 1 : 0;
         verdict.silent += isLost ? 1 : 0;
-        failed += isSilent(member, now) ? 1 : 0;
         verdict.host = member.reachesStore || !wasHeardLately ? host : verdict.host;
-        isKnownByOthers = isKnownByOthers || (member.knowsFleetOutage && !isSilent(member, now));
     }
     const auto isPlaceLost = [](const auto& entry) {
         return !entry.first.empty() && entry.second.members > 1 && entry.second.silent == entry.second.members;
     };
     const auto isSeparated = verdict.silent > 0 && verdict.silent >= s_cutOffFraction * verdict.members;
-    if (verdict.host.empty() && (m_isRegisterKnown || isKnownByOthers) && failed < s_maySeparateFraction * verdict.members) {
-        verdict.scope = OutageScope::Fleet;
-    } else if (isSeparated || std::ranges::any_of(places, isPlaceLost)) {
+    if (isSeparated || std::ranges::any_of(places, isPlaceLost)) {
         verdict.scope = OutageScope::CutOff;
     }
     return verdict;
--- a/src/programs/fleetmembership.h
+++ b/src/programs/fleetmembership.h
@@ -19,7 +19,7 @@
     OutageScope scope = OutageScope::Undecided;
     int members = 1;  ///< hosts that may be serving, this one included
     int silent = 0;   ///< of these, hosts that are not heard and reached the store when they last were
-    std::string host; ///< one that may reach the store; empty if there is none
+    std::string host; ///< one that may reach the store; empty if all have said that they do not
 };
 
 /// The hosts that may be serving, and what each of them last said of the store. Performs no I/O.
@@ -62,7 +62,6 @@
         std::string dataCentre;       ///< empty if it is unknown
         framework::Instant heardAt{}; ///< last heartbeat, or when the register named the host
         bool reachesStore = true;     ///< by its last heartbeat; true until there is one
-        bool knowsFleetOutage = false;
         bool isLeaving = false;
         bool wasHeard = false; ///< not only named by the register
         bool isAbsent = false; ///< it fell silent while the store answered this host, which therefore was not the one that was cut off
--- a/src/programs/outagescope.h
+++ b/src/programs/outagescope.h
@@ -7,13 +7,11 @@
 /// Which hosts an outage of the store concerns, as far as this host can tell.
 enum class OutageScope
 {
-    Fleet,     ///< the store answers no host that may be serving: each of them has said so
-    Undecided, ///< some hosts may reach the store
+    Undecided, ///< maybe all hosts
     CutOff,    ///< this host, maybe with others, is cut off from hosts that reached the store when they were last heard
 };
 
-inline constexpr auto s_outageScopeNames = framework::NameTable<OutageScope, 3>{{
-    {OutageScope::Fleet, "fleet"},
+inline constexpr auto s_outageScopeNames = framework::NameTable<OutageScope, 2>{{
     {OutageScope::Undecided, "undecided"},
     {OutageScope::CutOff, "cut_off"},
 }};
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -76,13 +76,7 @@
             co_return CommitOutcome::NotStored;
         }
         if (step == CommitStep::Replicate) {
-            const auto outcome = co_await keepUnstored(write);
-            if (outcome != CommitOutcome::LocalOnly || history == TurnHistory::SentByCaller) {
-                co_return outcome;
-            }
-            if (m_clock.now() >= endBy) {
-                co_return CommitOutcome::NotStored;
-            }
+            co_return co_await keepUnstored(write);
         }
         if (step == CommitStep::StoreElsewhere) {
             startStoringElsewhere(write);
@@ -110,6 +104,17 @@
     return state == store::StoreState::Away && mustBeServedElsewhere(state, isAwayAlone(partition), m_outage.outageScope());
 }
 
+auto TurnJournal::isStoreAway(const ProgramKey& program) const -> bool
+{
+    const auto partition = programs::partitionOf(program);
+    return stateFor(partition) == store::StoreState::Away && !isAwayAlone(partition);
+}
+
+auto TurnJournal::awaitReturn(Milliseconds timeout) -> Async<void>
+{
+    co_await m_storeStatus.awaitReturn(timeout);
+}
+
 auto TurnJournal::canCommitBy(const ProgramKey& program, Instant endBy) const -> bool
 {
     return m_commitPace.canEndBy(stateFor(programs::partitionOf(program)), m_clock.now(), endBy);
@@ -119,9 +124,7 @@
 {
     const auto partition = partitionOfTurn(*write.turn);
     const auto state = stateFor(partition);
-    const auto outage = state == store::StoreState::Away ? m_outage.outageScope() : OutageScope::Undecided;
     return nextCommitStep({.store = state,
-                           .outage = outage,
                            .isAwayAlone = isAwayAlone(partition),
                            .history = write.history,
                            .isRejected = write.rejections > 0,
--- a/src/programs/turnsearch.cpp
+++ b/src/programs/turnsearch.cpp
@@ -199,7 +199,7 @@
 {
     auto timer = asio::steady_timer(m_executor);
     for (const auto until = m_clock.now() + s_verdictTimeout; !isAwayAlone(partition) && m_clock.now() < until;) {
-        if (stateFor(partition) != store::StoreState::Away || m_outage.outageScope() != OutageScope::Undecided) {
+        if (stateFor(partition) != store::StoreState::Away || m_outage.outageScope() == OutageScope::CutOff) {
             break;
         }
         timer.expires_after(s_storePollInterval);
--- a/src/serving/fleetlink.cpp
+++ b/src/serving/fleetlink.cpp
@@ -219,7 +219,6 @@
     heartbeat.set_reaches_store(m_announcedStore);
     m_announcedAwayPartitions = ownAwayPartitions();
     heartbeat.set_away_partitions(m_announcedAwayPartitions);
-    heartbeat.set_knows_fleet_outage(!m_announcedStore && m_membership.isRegisterKnown() && outageScope() == programs::OutageScope::Fleet);
     heartbeat.set_configuration_version(m_state.fleetState.routes() ? m_state.fleetState.routes()->version() : 0);
     heartbeat.set_operator_version(m_state.fleetState.operatorTable().newestRowVersion());
     heartbeat.set_backend_version(m_state.fleetState.backendTable().newestRowVersion());
