No tokens are granted on memory alone to programs whose history the hosts keep

Change: such grants are made only while the store answers for other partitions, where they are recorded first. Turns of programs whose callers send the history are granted as before (one turn's at most). A turn that lacks tokens asks the hosts that may hold some, no longer all hosts of the fleet. While the store is away, claims of a partition begin every 250 ms and not at once after each failure.

Tests of grants by memory now let hosts grant as the former build does, since these have to be counted during an upgrade.

--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -179,7 +179,8 @@
 
 auto BudgetLedger::queryPeers(ProgramKey key, ProgramPtr program, std::uint64_t need) -> Async<PeerHoldings>
 {
-    const auto isAway = isStoreAway(key);
+    // Only a host that is about to grant tokens without the row has to know of all earlier grants.
+    const auto isAway = isStoreAway(key) && mayGrantUnrecorded(key, program->history);
     auto asked = isAway ? m_peers.reachableHosts() : possibleHolders(key, *program);
     program->advanceHolders.clear(); // They return what they have.
     auto answers = co_await queryHosts(key, program, asked, need);
@@ -278,6 +279,11 @@
     return storeState(key) == store::StoreState::Away;
 }
 
+auto BudgetLedger::mayGrantUnrecorded(const ProgramKey& key, TurnHistory history) const -> bool
+{
+    return history == TurnHistory::SentByCaller || isAwayAlone(key);
+}
+
 auto BudgetLedger::isAwayAlone(const ProgramKey& key) const -> bool
 {
     return m_storeStatus.isAwayAlone(partitionName(partitionOf(key)));
@@ -343,6 +349,9 @@
 auto BudgetLedger::reserveWithoutStore(const ProgramKey& key, ProgramPtr program, const TokenDemand& demand, const PeerHoldings& others,
                                        bool isGrantor) -> Async<Reservation>
 {
+    if (!mayGrantUnrecorded(key, demand.history)) {
+        co_return Reservation();
+    }
     auto grantor = others.grantor;
     if ((grantor.empty() || isGrantor) && mayGrantWithoutStore(key, *program, demand, others)) {
         grantor = co_await collectSupport(key, program);
--- a/src/programs/budgetledger.cpp
+++ b/src/programs/budgetledger.cpp
@@ -39,6 +39,9 @@
 
 constexpr auto s_maxWriteAttempts = 8;
 
+/// Interval of the claims of a partition's programs while the store does not take them: each of them is a call.
+constexpr auto s_awayClaimInterval = Milliseconds(250);
+
 /// Unit of the random pause after a conflict; a write takes about 10 ms.
 constexpr auto s_contentionPauseMs = 15U;
 
@@ -322,7 +325,7 @@
 
 auto BudgetLedger::startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void
 {
-    if (m_refills[key].isRunning) {
+    if (m_refills[key].isRunning || !mayClaim(key)) {
         return;
     }
     m_refills[key].isRunning = true;
@@ -336,6 +339,20 @@
     });
 }
 
+auto BudgetLedger::mayClaim(const ProgramKey& key) -> bool
+{
+    if (!isStoreAway(key)) {
+        return true;
+    }
+    auto& claimedAt = m_claimedAt.at(partitionOf(key));
+    const auto now = m_clock.now();
+    if (claimedAt != framework::Instant{} && now < claimedAt + s_awayClaimInterval) {
+        return false;
+    }
+    claimedAt = now;
+    return true;
+}
+
 auto BudgetLedger::refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> Async<Refill>
 {
     auto isRowFresh = false;
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -15,6 +15,7 @@
 #include "store/istore.h"
 #include "store/storehealth.h"
 
+#include <array>
 #include <limits>
 #include <optional>
 #include <random>
@@ -200,6 +201,8 @@
     /// For how long the call to the store has been under way that is to claim tokens; 0 if none is.
     auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
+    /// Whether a claim may begin now: while the store is away, one for each partition in a while.
+    auto mayClaim(const ProgramKey& key) -> bool;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<Refill>;
     /// Finds out whether the row has too few tokens indeed. Returns Done if the claim is to be tried once more.
     auto confirmShortage(ProgramKey key, ProgramPtr program, bool isRowFresh) -> framework::Async<Refill>;
@@ -231,6 +234,9 @@
     auto mayHaveStartedNow(const Program& program, const TokenDemand& demand, const PeerHoldings& others) const -> bool;
     auto unrecordedGrantLimit(const ProgramKey& key, const Program& program, const TokenDemand& demand) const -> std::uint64_t;
     auto isStoreAway(const ProgramKey& key) const -> bool;
+    /// Whether tokens may be granted that the program's row does not contain. In an outage of the whole store no turn whose history the
+    /// hosts keep can end, and grants that only hosts remember would be lost with these, after their tokens have been handed out.
+    auto mayGrantUnrecorded(const ProgramKey& key, TurnHistory history) const -> bool;
     /// Whether the store answers for other partitions than that of the program's row.
     auto isAwayAlone(const ProgramKey& key) const -> bool;
     /// Whether it is for this host to write to the program's row what it knows from rows in other partitions.
@@ -256,6 +262,7 @@
     std::size_t m_openReleases = 0;
     bool m_isStopping = false;
     std::map<ProgramKey, RefillState> m_refills;
+    std::array<framework::Instant, s_partitionCount> m_claimedAt{}; ///< last claim that began while the store was away
     std::minstd_rand m_random{std::random_device()()};
     TokenTransfers m_transfers;
     std::vector<Cancellation> m_cancellations; ///< that have not been confirmed and are not under way
--- a/src/programs/tests/budgetfleet.h
+++ b/src/programs/tests/budgetfleet.h
@@ -190,6 +190,30 @@
         }
     }
 
+    /// Lets a host grant and use tokens that no row contains, with the support of all hosts that it reaches, as hosts of the former build
+    /// do.
+    auto grantAsFormerBuild(int number, std::uint64_t tokens) -> void
+    {
+        for (auto other = 0; other < s_hosts; ++other) {
+            if (mayCall(number, other)) {
+                auto& supporter = *hosts[other]->table.program(key);
+                supporter.supportedGrantor = std::to_string(number);
+                supporter.supportedIncarnation = hosts[number]->incarnation;
+                supporter.supportedAt = clock.now();
+            }
+        }
+        auto& program = *hosts[number]->table.program(key);
+        ProgramTable::limitBudget(program, budget);
+        program.history = history;
+        program.turnTokens = s_turn;
+        program.unrecordedTokens += tokens;
+        program.holding.grant(tokens);
+        program.holding.reserve(tokens);
+        program.holding.settle(tokens, tokens);
+        handedOut += tokens;
+        run();
+    }
+
     /// Heartbeats are exchanged before what has been started runs, and tell nothing of it.
     auto run() -> void
     {
