A turn that cannot be stored begins late, so that its caller outlives more of an outage

Cause: since no turn ends without its row, a turn that begins in an outage of the whole store runs, pauses after its last event, and its caller leaves after two seconds, long before its time limit. It is sent again, runs again and uses tokens again; turns were stored at the return whose callers had left.

Change: TurnStart (src/programs, no I/O) delays the start so that the pauses before the first event and before the end together fill the caller's time limit; the return of the store ends the wait. A turn that lacks tokens waits while a run could still end in time. What is refused for want of the store names a third of the remaining time as Retry-After, the longest that callers wait.

--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -39,6 +39,15 @@
 constexpr auto s_maxLimitRetry = Milliseconds(1'000);
 constexpr auto s_retryUnready = Milliseconds(400);
 
+/// Callers wait for up to this share of their remaining time before they retry, and do so once or twice.
+constexpr auto s_retryShare = 3;
+
+/// Whether the request could be served if the store answered.
+auto isForWantOfStore(Refusal refusal) -> bool
+{
+    return refusal == Refusal::BudgetUnknown || refusal == Refusal::TurnUnknown || refusal == Refusal::StoreUnreachable;
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(ServingContext& context, CallerRequest request, IResponseWriter& response)
@@ -307,6 +316,7 @@
     const auto status = result.head->status();
     if (isTurn() && result.isSuccess()) {
         recordTurnTime();
+        recordRunTime();
         if (!co_await commitTurn(backend)) {
             m_ending.note(EndReason::TurnNotStored);
             m_response.abort();
@@ -326,6 +336,9 @@
 
 auto RequestHandler::retryAfter(Refusal refusal) -> std::optional<Milliseconds>
 {
+    if (isForWantOfStore(refusal) && m_context.journal.isStoreAway(programKey())) {
+        return remainingTime() / s_retryShare;
+    }
     switch (refusal) {
     case Refusal::RateLimited:
         // Retries are spread over time and do not precede those of requests that were rejected earlier.
--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -5,6 +5,7 @@
 #include "framework/metrics/metrics.h"
 #include "programs/budgetledger.h"
 #include "programs/turnjournal.h"
+#include "programs/turnstart.h"
 #include "scheduling/admission.h"
 #include "scheduling/answerending.h"
 #include "scheduling/backendchoice.h"
@@ -117,6 +118,10 @@
     /// Whether the last attempt's stream ended in the middle of an event.
     auto endedInsideEvent() const -> bool;
     /// Key of the latency of a stream's first event. The latency between events has the route's name as key.
+    /// Waits in an outage of the store for its return, at most until `latest`.
+    auto awaitStore(framework::Instant latest) -> framework::Async<void>;
+    auto startView() const -> programs::TurnStartView;
+    auto runTimeKind() const -> std::string { return m_route->name + "/run"; }
     auto firstEventLatencyKind() const -> std::string { return m_route->name + "/first"; }
     auto watchProgress(std::shared_ptr<AttemptWatch> watch) -> void;
     auto overdueTimeout() const -> framework::Milliseconds;
@@ -125,6 +130,7 @@
     auto slownessOf(const AttemptResult& result) -> double;
     /// Records the time of a completed turn.
     auto recordTurnTime() -> void;
+    auto recordRunTime() -> void;
     auto recordOutcome(const backends::BackendPtr& backend, const AttemptResult& result) -> void;
     auto finish(const backends::BackendPtr& backend, AttemptResult result) -> framework::Async<void>;
     /// Returns whether the answer may end as whole.
--- a/src/serving/requesthandlerattempts.cpp
+++ b/src/serving/requesthandlerattempts.cpp
@@ -311,6 +311,14 @@
     m_context.overload.recordTurn(*m_route, m_service->name, turn, now);
 }
 
+auto RequestHandler::recordRunTime() -> void
+{
+    if (m_firstEventAt < m_attemptStartedAt) {
+        return; // It had no events.
+    }
+    m_context.latencies.record(runTimeKind(), std::chrono::duration<double, std::milli>(m_lastEventAt - m_attemptStartedAt).count());
+}
+
 auto RequestHandler::recordOutcome(const BackendPtr& backend, const AttemptResult& result) -> void
 {
     const auto now = m_context.clock.now();
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -15,6 +15,20 @@
 /// Time after its time limit in which an answer that is ready may still be stored and end: servers stop at the limit itself.
 constexpr auto s_lateEndAllowance = framework::Milliseconds(300);
 
+/// Callers leave a stream after a pause of two seconds, four times its objective or eight times its longest punctual pause, whichever is
+/// longest.
+constexpr auto s_minCallerPatience = framework::Milliseconds(2'000);
+constexpr auto s_patienceInObjectives = 4;
+constexpr auto s_patienceInIntervals = 8;
+
+/// Interval in which a turn that waits for the store considers whether its caller is still there.
+constexpr auto s_storeWaitInterval = framework::Milliseconds(50);
+
+auto callerPatience(const routing::Route& route) -> framework::Milliseconds
+{
+    return std::max({s_minCallerPatience, route.latencyObjective * s_patienceInObjectives, route.maxEventInterval * s_patienceInIntervals});
+}
+
 } // namespace
 
 auto RequestHandler::mayStartProgram() const -> bool
@@ -69,11 +83,44 @@
             co_return refusal;
         }
     }
-    co_return co_await reserveBudget();
+    const auto refusal = co_await reserveBudget();
+    if (refusal != Refusal::BudgetUnknown || *m_history != TurnHistory::KeptByHosts || !m_context.journal.isStoreAway(programKey())) {
+        co_return refusal;
+    }
+    co_await awaitStore(programs::TurnStart::latestWithStore(startView()));
+    co_return m_context.journal.isStoreAway(programKey()) ? refusal : co_await reserveBudget();
+}
+
+auto RequestHandler::startView() const -> programs::TurnStartView
+{
+    const auto average = [this](const std::string& kind) {
+        return framework::Milliseconds(static_cast<std::int64_t>(m_context.latencies.average(kind).value_or(0)));
+    };
+    return {.arrivedAt = m_request.arrivedAt,
+            .endBy = m_deadline,
+            .callerPatience = callerPatience(*m_route),
+            .expectedRunTime = average(runTimeKind()),
+            .expectedFirstWait = average(firstEventLatencyKind())};
+}
+
+auto RequestHandler::awaitStore(framework::Instant latest) -> Async<void>
+{
+    const auto& journal = m_context.journal;
+    const auto startedAt = m_context.clock.now();
+    if (startedAt >= latest || !journal.isStoreAway(programKey())) {
+        co_return;
+    }
+    while (m_context.clock.now() < latest && journal.isStoreAway(programKey()) && !journal.isCutOff(programKey()) &&
+           !m_interruption->hasCallerDisconnected) {
+        const auto left = std::chrono::duration_cast<framework::Milliseconds>(latest - m_context.clock.now());
+        co_await m_context.journal.awaitReturn(std::clamp(left, framework::Milliseconds(1), s_storeWaitInterval));
+    }
+    recordPhase("store", startedAt);
 }
 
 auto RequestHandler::prepareHistory() -> Async<std::optional<Refusal>>
 {
+    co_await awaitStore(programs::TurnStart::latest(startView()));
     if (m_context.journal.isCutOff(programKey())) {
         co_return Refusal::CutOff;
     }
