A refusal for want of the store never names a time to return that has passed

Cause, found by reading: a third of the remaining time is negative once a reservation has outlasted the time limit. A turn that waited for tokens on a host that was found cut off meanwhile was refused as if its budget were unknown, and its caller kept its connection.

Change: 150 ms at least; cut_off is told as such.

--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -337,7 +337,7 @@
 auto RequestHandler::retryAfter(Refusal refusal) -> std::optional<Milliseconds>
 {
     if (isForWantOfStore(refusal) && m_context.journal.isStoreAway(programKey())) {
-        return remainingTime() / s_retryShare;
+        return std::max(remainingTime() / s_retryShare, s_retrySoon);
     }
     switch (refusal) {
     case Refusal::RateLimited:
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -88,6 +88,9 @@
         co_return refusal;
     }
     co_await awaitStore(programs::TurnStart::latestWithStore(startView()));
+    if (m_context.journal.isCutOff(programKey())) {
+        co_return Refusal::CutOff;
+    }
     co_return m_context.journal.isStoreAway(programKey()) ? refusal : co_await reserveBudget();
 }
 
