--- a/src/programs/budgetgrants.cpp
+++ b/src/programs/budgetgrants.cpp
@@ -376,8 +376,6 @@
 auto BudgetLedger::grantWithoutStore(const ProgramKey& key, Program& program, const TokenDemand& demand, const PeerHoldings& others)
     -> Reservation
 {
-    // A program without a row started during this outage. If all hosts lose their memory now, its turns are lost together with
-    // the record of the granted tokens, so that no later turn can continue them.
     const auto limit = unrecordedGrantLimit(key, program, demand);
     const auto unclaimedTokens = std::min(m_table.unclaimedTokens(program), others.unclaimedTokens);
     const auto room =
--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -40,11 +40,12 @@
 };
 
 /// Enforces the token budgets of programs across all hosts. A host records a grant in the program's row in the store before it
-/// uses the tokens, so that the tokens in use never exceed those in the row, whichever hosts fail. During a store outage, one
-/// host of each group of hosts that reach each other grants tokens without recording them in the row first, within the bounds of
-/// OutageGrants. The hosts that support a grantor remember it, so that its grants are counted although it does not answer any more.
-/// Hosts other than a program's home host reserve tokens through the home host
-/// if they can reach it. With TokenRequests::InAdvance, such a host holds up to one turn's tokens for a program's next turn.
+/// uses the tokens, so that the tokens in use never exceed those in the row, whichever hosts fail. While the store is away, one host of
+/// each group of hosts that reach each other grants tokens that the row does not contain, within the bounds of OutageGrants: to programs
+/// whose callers send the history, and, recorded in another partition, to programs whose partition is away by itself. The hosts that
+/// support a grantor remember it, so that its grants are counted although it does not answer any more. Hosts other than a program's home
+/// host reserve tokens through the home host if they can reach it. With TokenRequests::InAdvance, such a host holds up to one turn's tokens
+/// for a program's next turn.
 class BudgetLedger
 {
 public:
--- a/src/programs/outagegrants.cpp
+++ b/src/programs/outagegrants.cpp
@@ -42,8 +42,8 @@
 
 auto OutageGrants::largeGrant() const -> std::uint64_t
 {
-    // If all hosts fail, the turns of a program whose history they keep are lost with the record of its grants, so that no later turn
-    // continues them. A program whose history its caller sends can go on, so that it is never granted more than one turn's tokens.
+    // Grants to programs whose callers send the history are not recorded, and these programs go on after the loss of all hosts: they are
+    // never granted more than one turn's tokens.
     const auto isLarge = m_history == TurnHistory::KeptByHosts && m_budget > s_largeBudgetTurns * m_maxTokens;
     return isLarge ? m_budget / s_largeGrantDivisor : 0;
 }
--- a/src/programs/outagegrants.h
+++ b/src/programs/outagegrants.h
@@ -16,9 +16,11 @@
 /// Bounds the tokens of a program that may be granted without the store, so that they can be told from what is left of its budget.
 ///
 /// A budget may be exceeded by one turn's tokens. Each host supports the grants of one host only, and the grants to a program are the share
-/// of one turn's tokens that its supporters are of all hosts: together they add up to one turn's. A program that starts during an outage
-/// with a large budget and whose history the hosts keep is granted more, up to a quarter of its budget, but only by a host that more than
-/// half of all hosts support. There is one such host at most, and a group of fewer hosts, whichever these are, cannot have one.
+/// of one turn's tokens that its supporters are of all hosts: together they add up to one turn's. A program that starts while its
+/// partition is away by itself, with a large budget and a history that the hosts keep, is granted more, up to a quarter of its budget, but
+/// only by a host that more than half of all hosts support, and recorded in another partition before it is used. There is one such host
+/// at most, and a group of fewer hosts, whichever these are, cannot have one. Hosts of the build before grant as much in an outage of the
+/// whole store, unrecorded.
 class OutageGrants
 {
 public:
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -27,8 +27,8 @@
 {
     Stored,          ///< in the store
     StoredElsewhere, ///< in the store, in another partition than that of its program
-    Replicated,      ///< in memory on this and other hosts; written once the store is available
-    LocalOnly,       ///< in memory on this host only; no turn whose history the hosts keep ends so
+    Replicated,      ///< in memory on this and other hosts; only turns whose callers send the history end so
+    LocalOnly,       ///< in memory on this host only; likewise
     NotStored,       ///< the store has not accepted it in time
 };
 
@@ -55,8 +55,9 @@
     bool isCertain = true; ///< whether a null `turn` means that there is no such turn
 };
 
-/// Stores turns as rows in the partition of their program; while that partition is away, in another one; during an outage of the whole
-/// store replicates them to other hosts. A turn that the store rejects does not delay others.
+/// Stores turns as rows in the partition of their program; while that partition is away, in another one. In an outage of the whole store
+/// they wait in memory. Of turns whose callers send the history only the tokens are stored; these are replicated to other hosts in an
+/// outage. A turn that the store rejects does not delay others.
 class TurnJournal
 {
 public:
@@ -69,8 +70,8 @@
     auto retention() const -> framework::Milliseconds { return m_retention; }
 
     /// Stores a turn, and its program's token counts if they are due; `maxTokens` is the most that one of its turns may generate.
-    /// Returns when the turn is stored, or when other hosts have copies and nextCommitStep() accepts these. With NotStored, at `endBy`, the
-    /// turn's answer must not end as if it were whole.
+    /// Returns when the turn is stored, or by nextCommitStep() need not be. With NotStored, at `endBy`, the turn's answer must not end as
+    /// if it were whole; its row may be written later.
     auto commit(TurnPtr turn, std::uint64_t maxTokens, TurnHistory history, framework::Instant endBy) -> framework::Async<CommitOutcome>;
 
     /// Whether a turn of the program should be served by a host that is not cut off from the store as this one is.
@@ -230,7 +231,7 @@
     auto storeWaitingElsewhere() -> framework::Async<void>;
     /// Writes a turn that was found in another partition to its own.
     auto moveToOwnPartition(const TurnPtr& turn) -> void;
-    /// Replicates a turn that the store has not accepted yet, and waits for that or for the store.
+    /// Replicates the tokens of a turn that the store has not accepted yet, and waits for that or for the store.
     auto keepUnstored(PendingWritePtr write) -> framework::Async<CommitOutcome>;
     auto replicate(const PendingWritePtr& write) -> void;
     auto replicateAgain() -> void;
--- a/src/programs/turnreplication.cpp
+++ b/src/programs/turnreplication.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 
-// The part of TurnJournal that keeps turns in the memory of several hosts until the store has them.
+// The part of TurnJournal that keeps the tokens of turns in the memory of several hosts until the store has them, and turns of hosts of the
+// build before, which end answers on such copies.
 
 namespace laburnummill::programs {
 
