Turns wait for the store only while no other host may reach it

Cause, found by reading: in the first second of a cut, and on hosts that were started in one, the store counted as away for all, so that turns waited there, and were told to come back after a third of their time, while hosts elsewhere could have served them.

Test: theStoreIsNotAwayForAllWhileAnotherHostMayReachIt.

--- a/src/programs/outagescope.h
+++ b/src/programs/outagescope.h
@@ -23,6 +23,9 @@
     virtual ~IOutageScope() = default;
 
     virtual auto outageScope() const -> OutageScope = 0;
+
+    /// Whether some other host may reach the store; false if all have lately said that they do not.
+    virtual auto mayOthersReachStore() const -> bool = 0;
 };
 
 } // namespace laburnummill::programs
--- a/src/programs/tests/journalfleet.h
+++ b/src/programs/tests/journalfleet.h
@@ -41,6 +41,7 @@
     {}
 
     auto outageScope() const -> OutageScope override { return membership.judge(m_clock.now()).scope; }
+    auto mayOthersReachStore() const -> bool override { return !membership.judge(m_clock.now()).host.empty(); }
 
     FleetMembership membership;
 
--- a/src/programs/tests/turnjournaltest.cpp
+++ b/src/programs/tests/turnjournaltest.cpp
@@ -253,6 +253,19 @@
     CHECK_FALSE(fleet.store.hasTurn("t1"));
 }
 
+// Guards against turns that waited for the store at a host while others could have served them.
+TEST(TurnJournal, theStoreIsNotAwayForAllWhileAnotherHostMayReachIt)
+{
+    const auto program = ProgramKey{.account = "pub", .program = "p1"};
+    fleet.timeLimit = Milliseconds(100);
+    fleet.hosts[0]->store.isCutOff = true;
+    fleet.commit(0, "t1");
+    CHECK_FALSE(fleet.hosts[0]->journal.isStoreAwayForAll(program));
+    fleet.store.isAway = true;
+    fleet.exchangeHeartbeats();
+    CHECK_TRUE(fleet.hosts[0]->journal.isStoreAwayForAll(program));
+}
+
 TEST(TurnJournal, aTurnThatIsAwaitedWhenACutEndsIsCalledWhole)
 {
     fleet.setCutGroup({0, 1}, 1);
--- a/src/programs/turnjournal.cpp
+++ b/src/programs/turnjournal.cpp
@@ -104,10 +104,10 @@
     return state == store::StoreState::Away && mustBeServedElsewhere(state, isAwayAlone(partition), m_outage.outageScope());
 }
 
-auto TurnJournal::isStoreAway(const ProgramKey& program) const -> bool
+auto TurnJournal::isStoreAwayForAll(const ProgramKey& program) const -> bool
 {
     const auto partition = programs::partitionOf(program);
-    return stateFor(partition) == store::StoreState::Away && !isAwayAlone(partition);
+    return stateFor(partition) == store::StoreState::Away && !isAwayAlone(partition) && !m_outage.mayOthersReachStore();
 }
 
 auto TurnJournal::awaitReturn(Milliseconds timeout) -> Async<void>
--- a/src/programs/turnjournal.h
+++ b/src/programs/turnjournal.h
@@ -77,8 +77,8 @@
     /// Whether a turn of the program should be served by a host that is not cut off from the store as this one is.
     auto isCutOff(const ProgramKey& program) const -> bool;
 
-    /// Whether the store takes no turn of the program at present, in any partition.
-    auto isStoreAway(const ProgramKey& program) const -> bool;
+    /// Whether the store takes no turn of the program at present, in any partition and at any host, as far as this one knows.
+    auto isStoreAwayForAll(const ProgramKey& program) const -> bool;
 
     /// Returns when a store that was away answers again, or after `timeout`.
     auto awaitReturn(framework::Milliseconds timeout) -> framework::Async<void>;
--- a/src/serving/fleetlink.h
+++ b/src/serving/fleetlink.h
@@ -102,6 +102,7 @@
     auto sightings() const -> std::vector<peers::HostSighting> override;
     auto membershipSize() const -> int override { return std::max(m_table.membershipSize(), m_membership.size()); }
     auto outageScope() const -> programs::OutageScope override { return outageVerdict().scope; }
+    auto mayOthersReachStore() const -> bool override { return !outageVerdict().host.empty(); }
     auto mayHaveForgottenSupport() const -> bool override;
     auto outageReports(std::uint64_t programs) const -> peers::OutageReports override;
     auto hasRecordedGrants(std::string_view address, std::uint64_t incarnation, std::uint64_t programs) const -> bool override;
--- a/src/serving/requesthandler.cpp
+++ b/src/serving/requesthandler.cpp
@@ -336,7 +336,7 @@
 
 auto RequestHandler::retryAfter(Refusal refusal) -> std::optional<Milliseconds>
 {
-    if (isForWantOfStore(refusal) && m_context.journal.isStoreAway(programKey())) {
+    if (isForWantOfStore(refusal) && m_context.journal.isStoreAwayForAll(programKey())) {
         return std::max(remainingTime() / s_retryShare, s_retrySoon);
     }
     switch (refusal) {
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -84,14 +84,14 @@
         }
     }
     const auto refusal = co_await reserveBudget();
-    if (refusal != Refusal::BudgetUnknown || *m_history != TurnHistory::KeptByHosts || !m_context.journal.isStoreAway(programKey())) {
+    if (refusal != Refusal::BudgetUnknown || *m_history != TurnHistory::KeptByHosts || !m_context.journal.isStoreAwayForAll(programKey())) {
         co_return refusal;
     }
     co_await awaitStore(programs::TurnStart::latestWithStore(startView()));
     if (m_context.journal.isCutOff(programKey())) {
         co_return Refusal::CutOff;
     }
-    co_return m_context.journal.isStoreAway(programKey()) ? refusal : co_await reserveBudget();
+    co_return m_context.journal.isStoreAwayForAll(programKey()) ? refusal : co_await reserveBudget();
 }
 
 auto RequestHandler::startView() const -> programs::TurnStartView
@@ -110,10 +110,10 @@
 {
     const auto& journal = m_context.journal;
     const auto startedAt = m_context.clock.now();
-    if (startedAt >= latest || !journal.isStoreAway(programKey())) {
+    if (startedAt >= latest || !journal.isStoreAwayForAll(programKey())) {
         co_return;
     }
-    while (m_context.clock.now() < latest && journal.isStoreAway(programKey()) && !journal.isCutOff(programKey()) &&
+    while (m_context.clock.now() < latest && journal.isStoreAwayForAll(programKey()) && !journal.isCutOff(programKey()) &&
            !m_interruption->hasCallerDisconnected) {
         const auto left = std::chrono::duration_cast<framework::Milliseconds>(latest - m_context.clock.now());
         co_await m_context.journal.awaitReturn(std::clamp(left, framework::Milliseconds(1), s_storeWaitInterval));
