--- a/src/programs/budgetledger.h
+++ b/src/programs/budgetledger.h
@@ -202,8 +202,8 @@
     /// For how long the call to the store has been under way that is to claim tokens; 0 if none is.
     auto claimAge(const ProgramKey& key) const -> framework::Milliseconds;
     auto startRefill(const ProgramKey& key, const ProgramPtr& program, std::uint64_t maxTokens) -> void;
-    /// Whether a claim may begin now: while the store is away, one for each partition in a while.
-    auto mayClaim(const ProgramKey& key) -> bool;
+    /// Returns whether a claim begins now: while the store is away, one for each partition in a while.
+    auto beginClaim(const ProgramKey& key) -> bool;
     auto refill(ProgramKey key, ProgramPtr program, std::uint64_t maxTokens) -> framework::Async<Refill>;
     /// Finds out whether the row has too few tokens indeed. Returns Done if the claim is to be tried once more.
     auto confirmShortage(ProgramKey key, ProgramPtr program, bool isRowFresh) -> framework::Async<Refill>;
--- a/src/programs/tests/turnstarttest.cpp
+++ b/src/programs/tests/turnstarttest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto s_patience = Milliseconds(2'000);
+constexpr auto s_idleTimeout = Milliseconds(2'000);
 constexpr auto s_runTime = Milliseconds(400);
 constexpr auto s_retryPause = Milliseconds(250);
 constexpr auto s_tries = 3;
@@ -25,7 +25,7 @@
     {
         return {.arrivedAt = arrival,
                 .endBy = arrival + limit,
-                .callerPatience = s_patience,
+                .callerIdleTimeout = s_idleTimeout,
                 .expectedRunTime = s_runTime,
                 .expectedFirstWait = Milliseconds(100)};
     }
@@ -37,7 +37,7 @@
         for (auto attempt = 0; attempt < s_tries; ++attempt) {
             const auto latest = isDelayed ? TurnStart::latest(viewAt(arrival)) : arrival;
             const auto ranAt = std::min(latest, std::max(arrival, returnAt)) + s_runTime;
-            const auto leavesAt = std::min(ranAt + s_patience, arrival + limit);
+            const auto leavesAt = std::min(ranAt + s_idleTimeout, arrival + limit);
             ++runs;
             if (returnAt <= leavesAt) {
                 return runs;
@@ -62,8 +62,8 @@
         caller.limit = Milliseconds(limit);
         const auto latest = TurnStart::latest(caller.viewAt(now));
         CHECK_TRUE(latest >= now);
-        CHECK_TRUE(latest < now + s_patience);
-        CHECK_TRUE(latest == now || latest + s_runTime + s_patience <= now + caller.limit);
+        CHECK_TRUE(latest < now + s_idleTimeout);
+        CHECK_TRUE(latest == now || latest + s_runTime + s_idleTimeout <= now + caller.limit);
     }
     caller.limit = Milliseconds(4'000);
     CHECK_TRUE(TurnStart::latest(caller.viewAt(now)) == now + Milliseconds(1'600));
@@ -92,7 +92,7 @@
         caller.limit = Milliseconds(limit);
         const auto latest = TurnStart::latestWithStore(caller.viewAt(now));
         CHECK_TRUE(latest >= TurnStart::latest(caller.viewAt(now)));
-        CHECK_TRUE(latest < now + s_patience);
+        CHECK_TRUE(latest < now + s_idleTimeout);
         CHECK_TRUE(latest == now || latest + s_runTime < now + caller.limit);
     }
 }
--- a/src/programs/turnstart.cpp
+++ b/src/programs/turnstart.cpp
@@ -11,14 +11,14 @@
 
 auto latestForFirstEvent(const TurnStartView& view) -> framework::Instant
 {
-    return view.arrivedAt + view.callerPatience - view.expectedFirstWait - s_startAllowance;
+    return view.arrivedAt + view.callerIdleTimeout - view.expectedFirstWait - s_startAllowance;
 }
 
 } // namespace
 
 auto TurnStart::latest(const TurnStartView& view) -> framework::Instant
 {
-    return std::max(view.arrivedAt, std::min(view.endBy - view.callerPatience - view.expectedRunTime, latestForFirstEvent(view)));
+    return std::max(view.arrivedAt, std::min(view.endBy - view.callerIdleTimeout - view.expectedRunTime, latestForFirstEvent(view)));
 }
 
 auto TurnStart::latestWithStore(const TurnStartView& view) -> framework::Instant
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -17,16 +17,17 @@
 
 /// Callers leave a stream after a pause of two seconds, four times its objective or eight times its longest punctual pause, whichever is
 /// longest.
-constexpr auto s_minCallerPatience = framework::Milliseconds(2'000);
-constexpr auto s_patienceInObjectives = 4;
-constexpr auto s_patienceInIntervals = 8;
+constexpr auto s_minCallerIdleTimeout = framework::Milliseconds(2'000);
+constexpr auto s_idleTimeoutInObjectives = 4;
+constexpr auto s_idleTimeoutInIntervals = 8;
 
 /// Interval in which a turn that waits for the store considers whether its caller is still there.
 constexpr auto s_storeWaitInterval = framework::Milliseconds(50);
 
-auto callerPatience(const routing::Route& route) -> framework::Milliseconds
+auto callerIdleTimeout(const routing::Route& route) -> framework::Milliseconds
 {
-    return std::max({s_minCallerPatience, route.latencyObjective * s_patienceInObjectives, route.maxEventInterval * s_patienceInIntervals});
+    return std::max(
+        {s_minCallerIdleTimeout, route.latencyObjective * s_idleTimeoutInObjectives, route.maxEventInterval * s_idleTimeoutInIntervals});
 }
 
 } // namespace
@@ -101,7 +102,7 @@
     };
     return {.arrivedAt = m_request.arrivedAt,
             .endBy = m_deadline,
-            .callerPatience = callerPatience(*m_route),
+            .callerIdleTimeout = callerIdleTimeout(*m_route),
             .expectedRunTime = average(runTimeKind()),
             .expectedFirstWait = average(firstEventLatencyKind())};
 }
