A turn that waited for the store is not refused because its program's home host notices the return later

Cause, by its log: the host of the turn noticed the return at 49.489 s and asked the home host for tokens, which noticed it at 49.519 s and still answered that it could not tell.

Change: for 300 ms after a wait for the store the reservation is repeated, as long as a run could still end in time.

--- a/src/serving/requesthandler.h
+++ b/src/serving/requesthandler.h
@@ -121,6 +121,8 @@
     /// Waits in an outage of the store for its return, at most until `latest`.
     auto awaitStore(framework::Instant latest) -> framework::Async<void>;
     auto startView() const -> programs::TurnStartView;
+    /// Reserves the tokens of a turn; waits for a store that is away as long as a run could still end in time.
+    auto reserveWithStore() -> framework::Async<std::optional<Refusal>>;
     auto runTimeKind() const -> std::string { return m_route->name + "/run"; }
     auto firstEventLatencyKind() const -> std::string { return m_route->name + "/first"; }
     auto watchProgress(std::shared_ptr<AttemptWatch> watch) -> void;
@@ -193,8 +195,9 @@
     scheduling::Fingerprint m_fingerprint = 0;
     std::string m_input; ///< of a turn: its own input, without that of previous turns
     std::uint64_t m_reservedTokens = 0;
-    bool m_isGrantRecorded = true; ///< the program's row contains the reserved tokens
-    programs::TurnPtr m_turn;      ///< null until the turn has ended
+    std::optional<framework::Instant> m_storeAwaitedAt; ///< when the last wait for the store ended
+    bool m_isGrantRecorded = true;                      ///< the program's row contains the reserved tokens
+    programs::TurnPtr m_turn;                           ///< null until the turn has ended
     EventScanner m_events;
     std::optional<StreamContinuation> m_continuation; ///< of a stream that further runs may continue
     scheduling::AnswerEnding m_ending;
--- a/src/serving/requesthandlerturns.cpp
+++ b/src/serving/requesthandlerturns.cpp
@@ -1,11 +1,17 @@
 #include "serving/requesthandler.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
 // Steps of request handling that apply only to turns of programs.
 
 namespace laburnummill::serving {
 
 namespace {
 
+namespace asio = boost::asio;
 using backends::BackendPtr;
 using framework::Async;
 using programs::BudgetOutcome;
@@ -24,6 +30,9 @@
 /// Interval in which a turn that waits for the store considers whether its caller is still there.
 constexpr auto s_storeWaitInterval = framework::Milliseconds(50);
 
+/// The program's home host may notice the return of the store later than this one.
+constexpr auto s_returnSettleTime = framework::Milliseconds(300);
+
 auto callerIdleTimeout(const routing::Route& route) -> framework::Milliseconds
 {
     return std::max(
@@ -84,15 +93,29 @@
             co_return refusal;
         }
     }
-    const auto refusal = co_await reserveBudget();
-    if (refusal != Refusal::BudgetUnknown || *m_history != TurnHistory::KeptByHosts || !m_context.journal.isStoreAwayForAll(programKey())) {
-        co_return refusal;
-    }
-    co_await awaitStore(programs::TurnStart::latestWithStore(startView()));
-    if (m_context.journal.isCutOff(programKey())) {
-        co_return Refusal::CutOff;
+    co_return *m_history == TurnHistory::KeptByHosts ? co_await reserveWithStore() : co_await reserveBudget();
+}
+
+auto RequestHandler::reserveWithStore() -> Async<std::optional<Refusal>>
+{
+    while (true) {
+        const auto refusal = co_await reserveBudget();
+        const auto latest = programs::TurnStart::latestWithStore(startView());
+        if (refusal != Refusal::BudgetUnknown || m_context.clock.now() >= latest || m_interruption->hasCallerDisconnected) {
+            co_return refusal;
+        }
+        if (m_context.journal.isCutOff(programKey())) {
+            co_return Refusal::CutOff;
+        }
+        if (m_context.journal.isStoreAwayForAll(programKey())) {
+            co_await awaitStore(latest);
+        } else if (m_storeAwaitedAt && m_context.clock.now() < *m_storeAwaitedAt + s_returnSettleTime) {
+            auto pause = asio::steady_timer(m_context.executor, s_storeWaitInterval);
+            co_await pause.async_wait(asio::use_awaitable);
+        } else {
+            co_return refusal;
+        }
     }
-    co_return m_context.journal.isStoreAwayForAll(programKey()) ? refusal : co_await reserveBudget();
 }
 
 auto RequestHandler::startView() const -> programs::TurnStartView
@@ -119,6 +142,7 @@
         const auto left = std::chrono::duration_cast<framework::Milliseconds>(latest - m_context.clock.now());
         co_await m_context.journal.awaitReturn(std::clamp(left, framework::Milliseconds(1), s_storeWaitInterval));
     }
+    m_storeAwaitedAt = m_context.clock.now();
     recordPhase("store", startedAt);
 }
 
